--- a/logic/logic.go
+++ b/logic/logic.go
@@ -54,7 +54,8 @@
 	c.expire()
 	c.makeRoom()
 	c.dispatch()
-	if c.held > 0 {
+	c.stillWaiting()
+	if len(c.waiting) > 0 {
 		c.look(now + second/10) // for what falls due unannounced: silence, overdue calls
 	}
 	if at := max(c.lookAt, now+c.ch.Tick); c.lookAt < never && at < c.wakeAt {
@@ -196,7 +197,7 @@
 
 // expire gives up what can no longer be delivered.
 func (c *Courier) expire() {
-	for _, d := range c.order {
+	for _, d := range c.waiting {
 		soonest := c.prior
 		for _, rt := range d.routes {
 			soonest = min(soonest, c.mean(rt)/2)
@@ -218,8 +219,8 @@
 // makeRoom keeps a little of the hold free: the least worth of the longest queue goes first, so that no
 // destination that is down fills the hold.
 func (c *Courier) makeRoom() {
-	for c.held >= c.ch.Hold && c.ch.Hold > 0 && len(c.order) > 0 {
-		longest := slices.MaxFunc(c.order, func(a, b *dest) int { return cmp.Compare(len(a.queue), len(b.queue)) })
+	for c.held >= c.ch.Hold && c.ch.Hold > 0 && len(c.waiting) > 0 {
+		longest := slices.MaxFunc(c.waiting, func(a, b *dest) int { return cmp.Compare(len(a.queue), len(b.queue)) })
 		if len(longest.queue) == 0 {
 			return
 		}
@@ -564,10 +565,10 @@
 // dispatch sends what may go, where a slot gains most first; a pass gives each destination one call, and none
 // may have more out than slots are left, so that none starves the rest.
 func (c *Courier) dispatch() {
-	for _, d := range c.order {
+	for _, d := range c.waiting {
 		c.sortQueue(d)
 	}
-	order, starved := slices.Clone(c.order), false
+	order, starved := slices.Clone(c.waiting), false
 	slices.SortStableFunc(order, func(a, b *dest) int { return cmp.Compare(b.urgency, a.urgency) })
 	for sent := true; sent; {
 		sent = false
@@ -592,17 +593,13 @@
 func (c *Courier) reclaim() {
 	var worst *trip
 	most := 3.0 // times the mean and a quarter second: by then nine in ten are answered
-	for _, d := range c.order {
-		for _, rt := range d.routes {
-			for _, t := range rt.out {
-				over := float64(c.now-t.sent) / float64(c.mean(rt)+second/4)
-				if t.rec.work.Repeat == SingleUse {
-					over /= 1.5 // it would be lost for good
-				}
-				if over > most && !t.calledOff {
-					most, worst = over, t
-				}
-			}
+	for _, t := range c.flying {
+		over := float64(c.now-t.sent) / float64(c.mean(t.at.route)+second/4)
+		if t.rec.work.Repeat == SingleUse {
+			over /= 1.5 // it would be lost for good
+		}
+		if over > most && !t.calledOff {
+			most, worst = over, t
 		}
 	}
 	if worst == nil {
--- a/logic/state.go
+++ b/logic/state.go
@@ -1,10 +1,10 @@
 package logic
 
 import (
+	"cmp"
 	"math"
 	"math/rand"
 	"slices"
-	"sort"
 )
 
 // What a courier remembers, and the bookkeeping of it; every decision is in logic.go.
@@ -24,7 +24,8 @@
 	out       []Action
 	records   map[RecordID]*record
 	dests     map[DestID]*dest
-	order     []*dest // by id
+	waiting   []*dest // with records to be sent, by id
+	flying    []*trip // without an outcome, oldest first
 	endpoints map[EndpointID]*endpoint
 	keys      map[Key]*keyLine
 	parties   []tally  // what each party may still send within its share
@@ -162,6 +163,10 @@
 func (c *Courier) enqueue(r *record) {
 	r.queued = true
 	r.dest.queue = append(r.dest.queue, r)
+	byID := func(d *dest, id DestID) int { return cmp.Compare(d.id, id) }
+	if i, found := slices.BinarySearchFunc(c.waiting, r.dest.id, byID); !found {
+		c.waiting = slices.Insert(c.waiting, i, r.dest)
+	}
 }
 
 func (c *Courier) unqueue(r *record) {
@@ -173,6 +178,11 @@
 	}
 }
 
+// stillWaiting drops destinations that nothing waits for any more.
+func (c *Courier) stillWaiting() {
+	c.waiting = slices.DeleteFunc(c.waiting, func(d *dest) bool { return len(d.queue) == 0 })
+}
+
 // end forgets a record that has its answer; trips still out are remembered until their outcome.
 func (c *Courier) end(r *record) {
 	if r.ended {
@@ -230,8 +240,6 @@
 	if d == nil {
 		d = &dest{id: id}
 		c.dests[id] = d
-		i := sort.Search(len(c.order), func(i int) bool { return c.order[i].id >= id })
-		c.order = slices.Insert(c.order, i, d)
 	}
 	return d
 }
@@ -271,6 +279,7 @@
 	r.out++
 	cl.open++
 	cl.at.route.out = append(cl.at.route.out, t)
+	c.flying = append(c.flying, t)
 	return t
 }
 
@@ -279,7 +288,8 @@
 	t.over = true
 	t.rec.out--
 	rt := t.at.route
-	rt.out = slices.DeleteFunc(rt.out, func(o *trip) bool { return o == t })
+	same := func(o *trip) bool { return o == t }
+	rt.out, c.flying = slices.DeleteFunc(rt.out, same), slices.DeleteFunc(c.flying, same)
 	if t.call.open--; t.call.open > 0 {
 		return
 	}
