Close crowding idle connections; rank endpoints in an order of each courier's own

The guard also catches growing fleets and shrinking tables; it may hurt where tables have no end (handshakes are paid for nothing). Cause 2: all couriers ranked a destination's endpoints alike, so each with one call now and then took the same first one while its siblings idled.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -7,6 +7,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"hash/fnv"
 	"math"
 	"slices"
@@ -173,26 +174,23 @@
 	for _, rt := range r.dest.routes {
 		at = min(at, c.opens(r, rt))
 	}
-	if !c.ch.MayAdvise || at == never {
-		return 0
+	if c.ch.MayAdvise && at < never {
+		return min(c.ch.LongestAdvice, max(0, at-c.now))
 	}
-	return min(c.ch.LongestAdvice, max(0, at-c.now))
+	return 0
 }
 
 // allowedTrips goes by payoff: the dearest workload gets all that the charter allows. Trips turned away
 // unseen cost the destination next to nothing and count only against the charter.
 func (c *Courier) allowedTrips(r *record) int {
-	share := r.payoff / max(c.topPayoff, 1e-9)
-	return min(c.ch.MaxTrips, max(2, 1+int(math.Ceil(float64(c.ch.MaxTrips-1)*share))))
+	more := float64(c.ch.MaxTrips-1) * r.payoff / max(c.topPayoff, 1e-9)
+	return min(c.ch.MaxTrips, max(2, 1+int(math.Ceil(more))))
 }
 
 // mayGoAgain tells whether the rules and the allowance leave a record another trip, somewhere.
 func (c *Courier) mayGoAgain(r *record) bool {
-	if len(r.trips) >= c.ch.MaxTrips || len(r.trips)-r.refused >= c.allowedTrips(r) {
-		return false
-	}
-	return !r.mayRan || r.work.Repeat == Replayable ||
-		r.work.Repeat == Referenced && c.now < r.ranAt+r.work.Window
+	return len(r.trips) < c.ch.MaxTrips && len(r.trips)-r.refused < c.allowedTrips(r) &&
+		(!r.mayRan || r.work.Repeat == Replayable || c.now < r.ranAt+r.work.Window && r.work.Repeat == Referenced)
 }
 
 // expire gives up what can no longer be delivered.
@@ -265,7 +263,8 @@
 	}
 }
 
-// admit ranks a new endpoint among those of its destination by rendezvous hashing.
+// admit ranks a new endpoint among those of its destination by rendezvous hashing, at each courier in an order of
+// its own: else all of many couriers that see little traffic each would fill the same endpoint, its siblings idle.
 func (c *Courier) admit(l Listing) *endpoint {
 	d := c.destination(l.Dest)
 	if int(l.Shape) < len(c.ch.Shapes) {
@@ -273,7 +272,8 @@
 	}
 	h := fnv.New64a()
 	h.Write([]byte(l.Endpoint))
-	h.Write([]byte{byte(l.Dest), byte(l.Dest >> 8), byte(l.Dest >> 16), byte(l.Dest >> 24)})
+	h.Write(binary.LittleEndian.AppendUint32(nil, uint32(l.Dest)))
+	h.Write(binary.LittleEndian.AppendUint32(nil, uint32(c.ch.Number)))
 	ep := &endpoint{Listing: l, dest: d, hash: h.Sum64(), heard: -never / 2}
 	if !d.shape.Apart && len(d.routes) > 0 {
 		ep.route = d.routes[0]
@@ -383,29 +383,27 @@
 	}
 	t := r.trips[e.Trip]
 	ep := t.at
-	if c.endTrip(t); ep.calls == 0 && c.wornOut() {
+	if c.endTrip(t); ep.calls == 0 && c.closes(ep) {
 		ep.idleSince = 0
 		c.do(CloseIdle{ep.Endpoint})
 	}
 	c.learn(e, t)
-	if o := e.Outcome; o != Full && o != Unreachable && o != Void && o != Done && !r.mayRan {
+	o := e.Outcome
+	if o != Full && o != Unreachable && o != Void && o != Done && !r.mayRan {
 		r.mayRan, r.ranAt, r.ranZone = true, t.sent, ep.Zone
 	}
-	if o := e.Outcome; r.line != nil && (o == TimedOut || o == Broken || o == Withdrawn) {
+	if r.line != nil && (o == TimedOut || o == Broken || o == Withdrawn) {
 		r.line.restTo = max(r.line.restTo, c.now+c.ch.KeyRest+c.ch.Tick)
 	}
-	if e.Outcome == Full {
+	if r.last = ep; o == Full {
+		r.last = nil
 		r.refused++
-	} else {
-		r.last = ep
 	}
 	if e.Over {
 		c.end(r)
 	}
-	switch {
-	case r.ended:
-		c.forget(r)
-	case r.out > 0:
+	switch c.forget(r); {
+	case r.ended || r.out > 0:
 	case c.mayGoAgain(r):
 		c.enqueue(r)
 	default:
@@ -413,24 +411,29 @@
 	}
 }
 
-// wornOut tells whether calls on connections that had lain idle get lost more often than calls on new ones:
-// the connections have died unseen, and are better closed.
-func (c *Courier) wornOut() bool {
+// closes tells whether an endpoint's idle connections are better closed. They may have died unseen: calls on
+// connections that had lain idle get lost more often than calls on new ones. Or they crowd its table, so that
+// nobody gets in: kept by all of many couriers as this one would, each calling now and then. The smallest tables
+// seen take six or more, the larger ones two or three times what is served at once.
+func (c *Courier) closes(ep *endpoint) bool {
 	used, fresh := &c.lost[0], &c.lost[1]
 	used.fade(c.now, rateOver)
 	fresh.fade(c.now, rateOver)
-	return used.sum/(used.weight+5) > 0.02+1.2*fresh.sum/(fresh.weight+2)
+	ep.sent.fade(c.now, rateOver)
+	calls := ep.sent.weight / c.span(ep.route) // a microsecond
+	idle := min(1, calls*float64(c.ch.IdleAfter)) - 1.5*calls*float64(c.mean(ep.route))
+	return used.sum/(used.weight+5) > 0.02+1.2*fresh.sum/(fresh.weight+2) || float64(c.ch.Couriers)*idle > 4
 }
 
 // learn takes in what an outcome tells of its route.
 func (c *Courier) learn(e Settled, t *trip) {
-	ep, rt := t.at, t.at.route
+	ep, rt, o := t.at, t.at.route, e.Outcome
 	if l, r := c.ch.LeftAt, c.ch.RateAt; min(l, r) >= 0 && len(e.Pressure) > max(l, r) && e.Pressure[r] > 0 {
 		rt.rate, rt.left, rt.told = e.Pressure[r], e.Pressure[l], true
 	}
 	// A full connection table looks like an outage of one trip, while others are answered.
-	hollow := e.Outcome == Unreachable && ep.heard > t.sent
-	switch e.Outcome {
+	hollow := o == Unreachable && ep.heard > t.sent
+	switch o {
 	case Done:
 		rt.took.add(c.now, tookOver, float64(e.Took))
 		c.took.add(c.now, tookOver, float64(e.Took))
@@ -471,7 +474,7 @@
 		if hollow {
 			break
 		}
-		if e.Outcome == TimedOut && rt.servedSent > t.sent {
+		if o == TimedOut && rt.servedSent > t.sent {
 			c.lost[t.fresh].add(c.now, rateOver, 1)
 			break // what was sent later was served: that call was lost, not the destination
 		}
@@ -479,17 +482,17 @@
 		if rt.strikes++; rt.strikes > 2 && c.now-rt.lastDone > outageAfter {
 			c.sicken(rt)
 		}
-		if e.Outcome == TimedOut {
+		if o == TimedOut {
 			rt.took.add(c.now, tookOver, float64(e.Took))
 		}
 		if ep.fails >= 2 {
 			ep.restTo = c.now + min(8*second, second<<min(ep.fails, 4))
 		}
 	}
-	if e.Outcome == Done || e.Outcome == Failure || e.Outcome == Full {
+	if o == Done || o == Failure || o == Full {
 		rt.heard, ep.heard = c.now, c.now
 	}
-	c.judge(&rt.breakers[t.rec.class], rt, t, e.Outcome, hollow)
+	c.judge(&rt.breakers[t.rec.class], rt, t, o, hollow)
 }
 
 // ---- the gap and the pace
@@ -522,13 +525,17 @@
 // shares, which an outage leaves as it was.
 func (c *Courier) seen(rt *route) float64 {
 	rt.done.fade(c.now, rateOver)
-	span := float64(rateOver) * (1 - math.Exp(-float64(max(c.now-rt.since, 5*second))/float64(rateOver)))
 	n := rt.done.weight
 	if c.now-rt.since < 15*second && rt.rate == 0 {
 		rt.dest.taken.fade(c.now, rateOver)
 		n = max(n, rt.dest.taken.weight)
 	}
-	return n / span * float64(second)
+	return n / c.span(rt) * float64(second)
+}
+
+// span is how long the rates of a route have been counted, as far as they have not faded.
+func (c *Courier) span(rt *route) float64 {
+	return float64(rateOver) * (1 - math.Exp(-float64(max(c.now-rt.since, 5*second))/float64(rateOver)))
 }
 
 // ceiling of the gap: a second, or more where that many couriers a second apart would still use up the
--- a/logic/state.go
+++ b/logic/state.go
@@ -108,6 +108,7 @@
 	route     *route
 	hash      uint64
 	calls     int
+	sent      tally  // calls
 	heard     Micros // last answer
 	idleSince Micros
 	fails     int // in a row
@@ -269,6 +270,7 @@
 	ep.calls++
 	ep.dest.calls++
 	ep.route.lastCall = c.now
+	ep.sent.add(c.now, rateOver, 1)
 	return &call{at: ep}
 }
 
--- a/logic/types.go
+++ b/logic/types.go
@@ -65,7 +65,8 @@
 // Charter is what a courier is handed at its start.
 type Charter struct {
 	Salt           int64
-	Couriers       int
+	Couriers       int // in all
+	Number         int // of this one
 	Workloads      []Workload
 	Shapes         []Shape
 	Parties        []Party
--- a/simwire/info.go
+++ b/simwire/info.go
@@ -66,6 +66,7 @@
 	ch := logic.Charter{
 		Salt:          salt,
 		Couriers:      p.count("fleet-size"),
+		Number:        p.count("ordinal"),
 		OverSharePart: p.number("over-share-worth"),
 		Slots:         p.count("family-info.slots"),
 		Hold:          p.count("ceilings.open-cap"),
