--- a/logic/logic.go
+++ b/logic/logic.go
@@ -413,8 +413,8 @@
 
 // closes tells whether an endpoint's idle connections are better closed. They may have died unseen: calls on
 // connections that had lain idle get lost more often than calls on new ones. Or they crowd its table, so that
-// nobody gets in: kept by all of many couriers as this one would, each calling now and then. The smallest tables
-// seen take six or more, the larger ones two or three times what is served at once.
+// nobody gets in: kept by all of many couriers as this one would, each calling now and then, at a kind of
+// which one in a hundred trips found no connection. The smallest tables seen take six or more.
 func (c *Courier) closes(ep *endpoint) bool {
 	used, fresh := &c.lost[0], &c.lost[1]
 	used.fade(c.now, rateOver)
@@ -422,7 +422,9 @@
 	ep.sent.fade(c.now, rateOver)
 	calls := ep.sent.weight / c.span(ep.route) // a microsecond
 	idle := min(1, calls*float64(c.ch.IdleAfter)) - 1.5*calls*float64(c.mean(ep.route))
-	return used.sum/(used.weight+5) > 0.02+1.2*fresh.sum/(fresh.weight+2) || float64(c.ch.Couriers)*idle > 4
+	crowd := c.crowd[min(int(ep.Shape), len(c.crowd)-1)]
+	return used.sum/(used.weight+5) > 0.02+1.2*fresh.sum/(fresh.weight+2) ||
+		crowd.sum > 0.01*(crowd.weight+5) && float64(c.ch.Couriers)*idle > 4
 }
 
 // learn takes in what an outcome tells of its route.
@@ -433,11 +435,16 @@
 	}
 	// A full connection table looks like an outage of one trip, while others are answered.
 	hollow := o == Unreachable && ep.heard > t.sent
+	crowd := &c.crowd[min(int(ep.Shape), len(c.crowd)-1)]
+	if o == Unreachable {
+		crowd.add(c.now, rateOver, 1)
+	}
 	switch o {
 	case Done:
 		rt.took.add(c.now, tookOver, float64(e.Took))
 		c.took.add(c.now, tookOver, float64(e.Took))
 		rt.done.add(c.now, rateOver, 1)
+		crowd.add(c.now, rateOver, 0)
 		c.lost[t.fresh].add(c.now, rateOver, 0)
 		share := Micros(4)
 		if rt.gap*4 <= rt.knee*5 && rt.gap*4 >= rt.knee*3 {
--- a/logic/state.go
+++ b/logic/state.go
@@ -33,6 +33,7 @@
 	calls     int      // slots in use
 	took      tally    // answer times everywhere
 	lost      [2]tally // calls lost beside served ones, on connections used before and on new ones
+	crowd     []tally  // signs of full connection tables, by shape
 	lookAt    Micros   // when something held may next be done
 	wakeAt    Micros   // the earliest wake-up asked for
 	asks      int      // times in a row that asking for the list failed
@@ -50,6 +51,7 @@
 		endpoints: map[EndpointID]*endpoint{},
 		keys:      map[Key]*keyLine{},
 		parties:   make([]tally, len(ch.Parties)),
+		crowd:     make([]tally, len(ch.Shapes)+1),
 		wakeAt:    never,
 	}
 }
