--- a/logic/logic.go
+++ b/logic/logic.go
@@ -79,10 +79,9 @@
 // mean is the answer time to expect of a route; before anything was seen, what all routes show, and
 // before that half the shortest quoted time.
 func (c *Courier) mean(r *route) Micros {
-	c.took.fade(c.now, tookOver)
-	r.took.fade(c.now, tookOver)
-	all := (c.took.sum + 3*float64(c.prior)) / (c.took.weight + 3)
-	return Micros((r.took.sum + 2*all) / (r.took.weight + 2))
+	every, here := c.took.fade(c.now, tookOver), r.took.fade(c.now, tookOver)
+	all := (every.sum + 3*float64(c.prior)) / (every.weight + 3)
+	return Micros((here.sum + 2*all) / (here.weight + 2))
 }
 
 // patience is how long a trip may go unanswered: a skewed tail, everything slowing threefold, a queue, or a
@@ -271,9 +270,8 @@
 		d.shape = c.ch.Shapes[l.Shape]
 	}
 	h := fnv.New64a()
-	h.Write([]byte(l.Endpoint))
-	h.Write(binary.LittleEndian.AppendUint32(nil, uint32(l.Dest)))
 	h.Write(binary.LittleEndian.AppendUint32(nil, uint32(c.ch.Number)))
+	h.Write(binary.LittleEndian.AppendUint32([]byte(l.Endpoint), uint32(l.Dest)))
 	ep := &endpoint{Listing: l, dest: d, hash: h.Sum64(), heard: -never / 2}
 	if !d.shape.Apart && len(d.routes) > 0 {
 		ep.route = d.routes[0]
@@ -364,8 +362,7 @@
 	case b.state == closed && t.sent >= b.since:
 		b.fails++
 		b.bad.add(c.now, partOver, 1)
-		b.good.fade(c.now, partOver)
-		if b.fails > tripsAt || b.bad.weight > tripsAt && b.bad.weight > 1.5*b.good.weight {
+		if b.fails > tripsAt || b.bad.weight > max(tripsAt, 1.5*b.good.fade(c.now, partOver).weight) {
 			c.open(b, rt)
 		}
 	}
@@ -416,11 +413,8 @@
 // nobody gets in: kept by all of many couriers as this one would, each calling now and then, at a kind of
 // which one in a hundred trips found no connection. The smallest tables seen take six or more.
 func (c *Courier) closes(ep *endpoint) bool {
-	used, fresh := &c.lost[0], &c.lost[1]
-	used.fade(c.now, rateOver)
-	fresh.fade(c.now, rateOver)
-	ep.sent.fade(c.now, rateOver)
-	calls := ep.sent.weight / c.span(ep.route) // a microsecond
+	used, fresh := c.lost[0].fade(c.now, rateOver), c.lost[1].fade(c.now, rateOver)
+	calls := ep.sent.fade(c.now, rateOver).weight / c.span(ep.route) // a microsecond
 	idle := min(1, calls*float64(c.ch.IdleAfter)) - 1.5*calls*float64(c.mean(ep.route))
 	crowd := c.crowd[min(int(ep.Shape), len(c.crowd)-1)]
 	return used.sum/(used.weight+5) > 0.02+1.2*fresh.sum/(fresh.weight+2) ||
@@ -531,11 +525,9 @@
 // seen is the rate of done calls; a courier that has only just started goes by what it is handed within
 // shares, which an outage leaves as it was.
 func (c *Courier) seen(rt *route) float64 {
-	rt.done.fade(c.now, rateOver)
-	n := rt.done.weight
+	n := rt.done.fade(c.now, rateOver).weight
 	if c.now-rt.since < 15*second && rt.rate == 0 {
-		rt.dest.taken.fade(c.now, rateOver)
-		n = max(n, rt.dest.taken.weight)
+		n = max(n, rt.dest.taken.fade(c.now, rateOver).weight)
 	}
 	return n / c.span(rt) * float64(second)
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -147,20 +147,22 @@
 
 // tally is a decaying sum; it is brought up to date when read.
 type tally struct {
-	weight, sum, square float64
-	at                  Micros
+	weight, sum float64
+	at          Micros
 }
 
-func (t *tally) fade(now, over Micros) {
+// fade brings a tally up to date and returns it.
+func (t *tally) fade(now, over Micros) *tally {
 	if now > t.at {
 		keep := math.Exp(-float64(now-t.at) / float64(over))
-		t.weight, t.sum, t.square, t.at = t.weight*keep, t.sum*keep, t.square*keep, now
+		t.weight, t.sum, t.at = t.weight*keep, t.sum*keep, now
 	}
+	return t
 }
 
 func (t *tally) add(now, over Micros, value float64) {
 	t.fade(now, over)
-	t.weight, t.sum, t.square = t.weight+1, t.sum+value, t.square+value*value
+	t.weight, t.sum = t.weight+1, t.sum+value
 }
 
 func (c *Courier) enqueue(r *record) {
