--- a/logic/logic.go
+++ b/logic/logic.go
@@ -464,7 +464,7 @@
 			rt.gap = min(c.ceiling(rt), max(step, 2*rt.gap))
 		}
 		if e.Wait > 0 {
-			rt.waitTo = max(rt.waitTo, c.now+e.Wait+c.ch.Tick)
+			rt.waitTo, rt.lot = max(rt.waitTo, c.now+e.Wait+c.ch.Tick), c.rng.Float64()
 		}
 		// Shut: told to wait longer than any limit asks for, or nothing but refusals for a while. What was
 		// parked meanwhile would push it over the moment it opens.
@@ -722,9 +722,10 @@
 	}
 	// Silence: two trips overdue and nothing heard since the later was sent. Calls may just get lost, so one
 	// goes now and then all the same; more would take the slots of others.
-	late := 2*c.mean(rt) + second/4
+	gap, late := c.spacing(rt), 2*c.mean(rt)+second/4
 	if len(rt.out) > 1 && rt.heard < rt.out[1].sent && c.now-rt.out[1].sent > late {
-		return max(rt.waitTo, rt.lastCall+max(late, c.spacing(rt)))
+		gap = max(gap, late)
 	}
-	return max(rt.waitTo, rt.lastCall+c.spacing(rt))
+	// All who were told when a shut destination opens would be there at that instant: each draws a lot.
+	return max(rt.waitTo+Micros(rt.lot*float64(gap)), rt.lastCall+gap)
 }
--- a/logic/scenario_test.go
+++ b/logic/scenario_test.go
@@ -148,6 +148,7 @@
 		c.Hold = int(p.number(opt("hold", strconv.Itoa(c.Hold))))
 		c.MaxTrips = int(p.number(opt("trips", strconv.Itoa(c.MaxTrips))))
 		c.Couriers = int(p.number(opt("couriers", strconv.Itoa(c.Couriers))))
+		c.Number = int(p.number(opt("number", "0")))
 		c.MustAsk = has("ask")
 		if has("reports") {
 			c.LeftAt, c.RateAt = 0, 1
--- a/logic/state.go
+++ b/logic/state.go
@@ -127,8 +127,9 @@
 	gap        Micros
 	knee       Micros // the gap that was last refused
 	waitTo     Micros
-	fullRound  Micros // the round that last doubled the gap
-	fulls      int    // refusals in a row
+	lot        float64 // its place among the couriers that were told the same wait
+	fullRound  Micros  // the round that last doubled the gap
+	fulls      int     // refusals in a row
 	took       tally
 	done       tally
 	since      Micros
