--- a/logic/logic.go
+++ b/logic/logic.go
@@ -123,12 +123,7 @@
 		d.taken.add(c.now, rateOver, 1)
 	}
 	if w.InOrder && e.Key != "" {
-		r.line = c.keys[e.Key]
-		if r.line == nil {
-			r.line = &keyLine{key: e.Key}
-			c.keys[e.Key] = r.line
-		}
-		r.line.records = append(r.line.records, r)
+		r.line = c.join(e.Key, r)
 	}
 	c.records[r.id] = r
 	c.held++
@@ -330,11 +325,11 @@
 
 // sicken notes that an outage was seen; what the route did before is the yardstick for its return.
 func (c *Courier) sicken(rt *route) {
+	if !rt.sick && !rt.cold {
+		rt.usual = max(rt.usual, c.seen(rt))
+	}
 	if !rt.sick {
 		rt.sickAt = c.now
-		if !rt.cold {
-			rt.usual = max(rt.usual, c.seen(rt))
-		}
 	}
 	rt.sick, rt.cold = true, false
 }
@@ -444,9 +439,10 @@
 		if rt.gap*4 <= rt.knee*5 && rt.gap*4 >= rt.knee*3 {
 			share = 16 // near where it was last refused: a quarter would be refused every third call
 		}
-		if rt.gap -= rt.gap / share; rt.gap < gapStep {
+		if rt.gap = min(rt.gap, 4*gapCeiling); rt.gap < gapStep {
 			rt.gap = 0
 		}
+		rt.gap -= rt.gap / share
 		if rt.sick && t.sent < rt.sickAt {
 			break // from before the outage: it would start the ramp while the destination is still out
 		}
@@ -456,13 +452,7 @@
 		rt.sick, rt.fulls, rt.strikes, ep.fails, rt.lastDone = false, 0, 0, 0, c.now
 		rt.servedSent = max(rt.servedSent, t.sent)
 	case Full:
-		if rt.fullRound != c.now {
-			rt.fullRound, rt.knee = c.now, rt.gap
-			// A sixth of the spacing of this courier's part: from the bare step, a courier among many would
-			// have six calls refused on end before its gap came near what helps.
-			step := max(gapStep, Micros(float64(second)/(6*c.base(rt))))
-			rt.gap = min(c.ceiling(rt), max(step, 2*rt.gap))
-		}
+		c.widen(rt)
 		if e.Wait > 0 {
 			rt.waitTo, rt.lot = max(rt.waitTo, c.now+e.Wait+c.ch.Tick), c.rng.Float64()
 		}
@@ -486,6 +476,9 @@
 		if o == TimedOut {
 			rt.took.add(c.now, tookOver, float64(e.Took))
 		}
+		if rt.strikes >= len(rt.dest.endpoints) && c.base(rt) < 0.25 {
+			c.widen(rt) // so few calls that six failures in a row come too late
+		}
 		if ep.fails >= 2 {
 			ep.restTo = c.now + min(8*second, second<<min(ep.fails, 4))
 		}
@@ -537,10 +530,16 @@
 	return float64(rateOver) * (1 - math.Exp(-float64(max(c.now-rt.since, 5*second))/float64(rateOver)))
 }
 
-// ceiling of the gap: a second, or more where that many couriers a second apart would still use up the
-// limit with refused calls alone, so that nobody is served at all.
-func (c *Courier) ceiling(rt *route) Micros {
-	return min(4*gapCeiling, max(gapCeiling, Micros(float64(second)/c.base(rt))))
+// widen doubles the gap, once a round, for refusals; among many couriers for failures too, as what all of them
+// try again before one of them sees six in a row would use up a limit, or push over a return.
+// It begins at a sixth of the spacing of this courier's part, as many couriers would have six calls refused on
+// end before a gap from the bare step came near what helps; it ends at that spacing, or a second.
+func (c *Courier) widen(rt *route) {
+	if rt.widened != c.now {
+		part := Micros(float64(second) / c.base(rt))
+		rt.widened, rt.knee = c.now, rt.gap
+		rt.gap = min(max(gapCeiling, part), max(gapStep, min(part/6, 4*gapCeiling), 2*rt.gap))
+	}
 }
 
 // spacing is the least time between two calls on a route.
--- a/logic/state.go
+++ b/logic/state.go
@@ -128,7 +128,7 @@
 	knee       Micros // the gap that was last refused
 	waitTo     Micros
 	lot        float64 // its place among the couriers that were told the same wait
-	fullRound  Micros  // the round that last doubled the gap
+	widened    Micros  // the round that last doubled the gap
 	fulls      int     // refusals in a row
 	took       tally
 	done       tally
@@ -217,6 +217,17 @@
 	restTo  Micros
 }
 
+// join puts a record last in the line of its key.
+func (c *Courier) join(key Key, r *record) *keyLine {
+	l := c.keys[key]
+	if l == nil {
+		l = &keyLine{key: key}
+		c.keys[key] = l
+	}
+	l.records = append(l.records, r)
+	return l
+}
+
 func (l *keyLine) leave(r *record) {
 	if l != nil {
 		if i := slices.Index(l.records, r); i >= 0 {
