Room by what a record would bring; two signs make an outage where calls are rare

Room is now made after sending, and by what a record would bring when it may be sent. Two signs alike now make an outage where the part is under a call in four seconds; no connection and refusals at listed limits need three, as tables and limits look alike.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -53,8 +53,8 @@
 	}
 	c.look(c.askAt)
 	c.expire()
-	c.makeRoom()
 	c.dispatch()
+	c.makeRoom()
 	c.stillWaiting()
 	if len(c.waiting) > 0 {
 		c.look(now + second/10) // for what falls due unannounced: silence, overdue calls
@@ -162,13 +162,18 @@
 	c.end(r)
 }
 
-// advice is how long the client should stay away: until the first route takes calls, as far as is known.
-func (c *Courier) advice(r *record) Micros {
+// soonest is when the first route takes a record, as far as is known.
+func (c *Courier) soonest(r *record) Micros {
 	at := never
 	for _, rt := range r.dest.routes {
 		at = min(at, c.opens(r, rt))
 	}
-	if c.ch.MayAdvise && at < never {
+	return at
+}
+
+// advice is how long the client should stay away: until the first route takes calls.
+func (c *Courier) advice(r *record) Micros {
+	if at := c.soonest(r); c.ch.MayAdvise && at < never {
 		return min(c.ch.LongestAdvice, max(0, at-c.now))
 	}
 	return 0
@@ -208,17 +213,28 @@
 	}
 }
 
-// makeRoom keeps a little of the hold free: the least worth of the longest queue goes first, so that no
-// destination that is down fills the hold.
+// makeRoom keeps a little of the hold free, after what may go went: first goes what would bring least at the time
+// when it may be sent, so that parked records do not push out those that a slot or an answer will soon free.
 func (c *Courier) makeRoom() {
-	for c.held >= c.ch.Hold && c.ch.Hold > 0 && len(c.waiting) > 0 {
-		longest := slices.MaxFunc(c.waiting, func(a, b *dest) int { return cmp.Compare(len(a.queue), len(b.queue)) })
-		if len(longest.queue) == 0 {
+	for c.held >= c.ch.Hold && c.ch.Hold > 0 {
+		var victim *record
+		least := math.Inf(1)
+		for _, d := range c.waiting {
+			for i, r := range d.queue {
+				at := c.soonest(r)
+				if at < never {
+					rt := d.routes[0]
+					at = max(at, c.now) + c.mean(rt) + Micros(i)*c.spacing(rt)
+				}
+				if brings := c.worth(r, at); brings < least {
+					victim, least = r, brings
+				}
+			}
+		}
+		if victim == nil {
 			return
 		}
-		c.giveUp(slices.MinFunc(longest.queue, func(a, b *record) int {
-			return cmp.Compare(c.worth(a, c.now), c.worth(b, c.now))
-		}))
+		c.giveUp(victim)
 	}
 }
 
@@ -334,6 +350,26 @@
 	rt.sick, rt.cold = true, false
 }
 
+// strike counts a sign of an outage: three alike in a row with nothing served for a while, or two where this courier
+// calls so rarely that the third comes too late: hundreds that saw one or two each would push a return over. A trip
+// without a connection may have met a full table, and a refusal a limit that is listed: those need three always.
+func (c *Courier) strike(rt *route, o Outcome, sure bool) {
+	signs, few := &rt.strikes, 3
+	if o == Full {
+		signs = &rt.fulls
+	}
+	if c.base(rt) < rare && o != Unreachable && (o != Full || rt.rate == 0) {
+		few = 2
+	}
+	if *signs++; sure || *signs >= few && c.now-rt.lastDone > outageAfter {
+		c.sicken(rt)
+	}
+}
+
+// rare is a part of a destination, in calls a second, so small that outages are over before a courier saw much of
+// them: they last some seconds.
+const rare = 0.25
+
 // judge tells the breaker of a trip's outcome.
 func (c *Courier) judge(b *breaker, rt *route, t *trip, o Outcome, hollow bool) {
 	trial := b.trial == t
@@ -458,9 +494,7 @@
 		}
 		// Shut: told to wait longer than any limit asks for, or nothing but refusals for a while. What was
 		// parked meanwhile would push it over the moment it opens.
-		if rt.fulls++; e.Wait > outageAfter || rt.fulls > 2 && c.now-rt.lastDone > outageAfter {
-			c.sicken(rt)
-		}
+		c.strike(rt, o, e.Wait > outageAfter)
 	case Failure, Broken, TimedOut, Unreachable:
 		if hollow {
 			break
@@ -470,13 +504,11 @@
 			break // what was sent later was served: that call was lost, not the destination
 		}
 		ep.fails++
-		if rt.strikes++; rt.strikes > 2 && c.now-rt.lastDone > outageAfter {
-			c.sicken(rt)
-		}
+		c.strike(rt, o, false)
 		if o == TimedOut {
 			rt.took.add(c.now, tookOver, float64(e.Took))
 		}
-		if rt.strikes >= len(rt.dest.endpoints) && c.base(rt) < 0.25 {
+		if rt.strikes >= len(rt.dest.endpoints) && c.base(rt) < rare {
 			c.widen(rt) // so few calls that six failures in a row come too late
 		}
 		if ep.fails >= 2 {
