--- a/logic/logic.go
+++ b/logic/logic.go
@@ -40,9 +40,7 @@
 		case Settled:
 			c.settle(e)
 		case Left:
-			if r := c.records[e.Record]; r != nil {
-				c.end(r)
-			}
+			c.end(c.records[e.Record])
 		case ListNews:
 			c.list(e)
 		}
@@ -71,8 +69,6 @@
 // look asks for a look at the held records at an instant.
 func (c *Courier) look(at Micros) { c.lookAt = min(c.lookAt, at) }
 
-// ---- what is measured
-
 // Answer times are kept over some tens of answers at usual traffic; a trouble lasts about as long.
 const tookOver = 15 * second
 
@@ -112,10 +108,12 @@
 	if c.records[e.Record] != nil || int(e.Workload) >= len(c.ch.Workloads) {
 		return
 	}
-	w := &c.ch.Workloads[e.Workload]
-	d := c.destination(e.Dest)
-	r := &record{id: e.Record, dest: d, class: e.Workload, work: w, cutOff: e.CutOff, payoff: w.Payoff}
-	r.due = min(e.CutOff-w.Life+w.Quoted, e.CutOff)
+	w, d := &c.ch.Workloads[e.Workload], c.destination(e.Dest)
+	r := &record{id: e.Record, dest: d, class: e.Workload, work: w, cutOff: e.CutOff, payoff: w.Payoff,
+		due: min(e.CutOff-w.Life+w.Quoted, e.CutOff)}
+	if e.CutOff < c.now+w.Quoted && !e.Again {
+		r.due = e.CutOff // a client with little patience: its record is not late, but lost soon
+	}
 	switch {
 	case !c.withinShare(e.Party):
 		r.payoff *= c.ch.OverSharePart
@@ -137,13 +135,12 @@
 	}
 	perSec := c.ch.Parties[p].PerSec / float64(max(1, c.ch.Couriers))
 	t := &c.parties[p]
-	t.sum = min(2*perSec+1, t.sum+perSec*float64(c.now-t.at)/float64(second))
-	t.at = c.now
-	if t.sum < 1 {
-		return false
+	t.sum, t.at = min(2*perSec+1, t.sum+perSec*float64(c.now-t.at)/float64(second)), c.now
+	within := t.sum >= 1
+	if within {
+		t.sum--
 	}
-	t.sum--
-	return true
+	return within
 }
 
 // mayBounce: trying again does no harm only if nothing ran, or a repeat is harmless anywhere.
@@ -152,12 +149,14 @@
 		r.work.Repeat == Referenced && !r.work.OneZone
 }
 
-// giveUp answers at once; the client is told when to come back where that is allowed.
+// giveUp answers at once; the client is told when the first route takes calls, where that is allowed.
 func (c *Courier) giveUp(r *record) {
-	if r.mayBounce() {
-		c.do(Bounce{r.id, c.advice(r)})
-	} else {
+	if !r.mayBounce() {
 		c.do(Terminate{r.id})
+	} else if at := c.soonest(r); c.ch.MayAdvise && at < never {
+		c.do(Bounce{r.id, min(c.ch.LongestAdvice, max(0, at-c.now))})
+	} else {
+		c.do(Bounce{r.id, 0})
 	}
 	c.end(r)
 }
@@ -171,14 +170,6 @@
 	return at
 }
 
-// advice is how long the client should stay away: until the first route takes calls.
-func (c *Courier) advice(r *record) Micros {
-	if at := c.soonest(r); c.ch.MayAdvise && at < never {
-		return min(c.ch.LongestAdvice, max(0, at-c.now))
-	}
-	return 0
-}
-
 // allowedTrips goes by payoff: the dearest workload gets all that the charter allows. Trips turned away
 // unseen cost the destination next to nothing and count only against the charter.
 func (c *Courier) allowedTrips(r *record) int {
@@ -195,12 +186,12 @@
 // expire gives up what can no longer be delivered.
 func (c *Courier) expire() {
 	for _, d := range c.waiting {
-		soonest := c.prior
+		quick := c.prior
 		for _, rt := range d.routes {
-			soonest = min(soonest, c.mean(rt)/2)
+			quick = min(quick, c.mean(rt)/2)
 		}
 		for _, r := range slices.Clone(d.queue) {
-			last := r.cutOff - max(soonest, 4*c.ch.Tick)
+			last := r.cutOff - max(quick, 4*c.ch.Tick)
 			if r.mayRan && r.work.Repeat == Referenced {
 				last = min(last, r.ranAt+r.work.Window-c.ch.Tick)
 			}
@@ -213,8 +204,8 @@
 	}
 }
 
-// makeRoom keeps a little of the hold free, after what may go went: first goes what would bring least at the time
-// when it may be sent, so that parked records do not push out those that a slot or an answer will soon free.
+// makeRoom keeps a little of the hold free, after what may go went: first goes what would bring least when
+// it may be sent, so that parked records do not push out those that a slot or an answer will soon free.
 func (c *Courier) makeRoom() {
 	for c.held >= c.ch.Hold && c.ch.Hold > 0 {
 		var victim *record
@@ -226,7 +217,7 @@
 					rt := d.routes[0]
 					at = max(at, c.now) + c.mean(rt) + Micros(i)*c.spacing(rt)
 				}
-				if brings := c.worth(r, at); brings < least {
+				if brings := c.worth(r, at) + r.payoff/1000; brings < least {
 					victim, least = r, brings
 				}
 			}
@@ -273,8 +264,8 @@
 	}
 }
 
-// admit ranks a new endpoint among those of its destination by rendezvous hashing, at each courier in an order of
-// its own: else all of many couriers that see little traffic each would fill the same endpoint, its siblings idle.
+// admit ranks a new endpoint among those of its destination by rendezvous hashing, in an order of this
+// courier's own: many couriers with a call now and then would all fill one endpoint while its siblings idle.
 func (c *Courier) admit(l Listing) *endpoint {
 	d := c.destination(l.Dest)
 	if int(l.Shape) < len(c.ch.Shapes) {
@@ -284,13 +275,11 @@
 	h.Write(binary.LittleEndian.AppendUint32(nil, uint32(c.ch.Number)))
 	h.Write(binary.LittleEndian.AppendUint32([]byte(l.Endpoint), uint32(l.Dest)))
 	ep := &endpoint{Listing: l, dest: d, hash: h.Sum64(), heard: -never / 2}
-	if !d.shape.Apart && len(d.routes) > 0 {
-		ep.route = d.routes[0]
-	} else {
-		ep.route = &route{dest: d, since: c.now, lastDone: c.now, lastCall: -second}
-		ep.route.breakers = make([]breaker, len(c.ch.Workloads))
-		d.routes = append(d.routes, ep.route)
+	if d.shape.Apart || len(d.routes) == 0 {
+		d.routes = append(d.routes, &route{dest: d, since: c.now, lastDone: c.now, lastCall: -second,
+			breakers: make([]breaker, len(c.ch.Workloads))})
 	}
+	ep.route = d.routes[len(d.routes)-1]
 	c.prune(d, idleAfter)
 	c.endpoints[l.Endpoint] = ep
 	d.endpoints = append(d.endpoints, ep)
@@ -350,24 +339,20 @@
 	rt.sick, rt.cold = true, false
 }
 
-// strike counts a sign of an outage: three alike in a row with nothing served for a while, or two where this courier
-// calls so rarely that the third comes too late: hundreds that saw one or two each would push a return over. A trip
-// without a connection may have met a full table, and a refusal a limit that is listed: those need three always.
-func (c *Courier) strike(rt *route, o Outcome, sure bool) {
-	signs, few := &rt.strikes, 3
-	if o == Full {
-		signs = &rt.fulls
-	}
+// strike counts a sign of an outage: three alike in a row with nothing served for a while, or two where this
+// courier calls rarely, as hundreds that saw one or two would push a return over together. Unreachable may be
+// a full table, and a refusal a limit that is listed: those need three.
+func (c *Courier) strike(rt *route, signs *int, o Outcome) {
+	few := 3
 	if c.base(rt) < rare && o != Unreachable && (o != Full || rt.rate == 0) {
 		few = 2
 	}
-	if *signs++; sure || *signs >= few && c.now-rt.lastDone > outageAfter {
+	if *signs++; *signs >= few && c.now-rt.lastDone > outageAfter {
 		c.sicken(rt)
 	}
 }
 
-// rare is a part of a destination, in calls a second, so small that outages are over before a courier saw much of
-// them: they last some seconds.
+// rare is a part in calls a second so small that outages, of some seconds, show too little of themselves.
 const rare = 0.25
 
 // judge tells the breaker of a trip's outcome.
@@ -381,27 +366,18 @@
 		return // says nothing of health: a half-open breaker admits another trial
 	case o == Done || o == Full:
 		b.fails = 0
-		b.good.add(c.now, partOver, 1)
-		if o == Full {
-			b.good.weight-- // a refusal does not speak against failing
-		}
 		if trial {
-			b.state, b.since, b.bad = closed, c.now, tally{}
+			b.state, b.since = closed, c.now
 		}
 	case trial:
 		c.open(b, rt)
 	case b.state == closed && t.sent >= b.since:
-		b.fails++
-		b.bad.add(c.now, partOver, 1)
-		if b.fails > tripsAt || b.bad.weight > max(tripsAt, 1.5*b.good.fade(c.now, partOver).weight) {
+		if b.fails++; b.fails > tripsAt {
 			c.open(b, rt)
 		}
 	}
 }
 
-// Failing that never runs to six in a row shows over some seconds of a destination's traffic.
-const partOver = 5 * second
-
 // ---- outcomes
 
 func (c *Courier) settle(e Settled) {
@@ -424,8 +400,7 @@
 		r.line.restTo = max(r.line.restTo, c.now+c.ch.KeyRest+c.ch.Tick)
 	}
 	if r.last = ep; o == Full {
-		r.last = nil
-		r.refused++
+		r.last, r.refused = nil, r.refused+1
 	}
 	if e.Over {
 		c.end(r)
@@ -440,9 +415,9 @@
 }
 
 // closes tells whether an endpoint's idle connections are better closed. They may have died unseen: calls on
-// connections that had lain idle get lost more often than calls on new ones. Or they crowd its table, so that
-// nobody gets in: kept by all of many couriers as this one would, each calling now and then, at a kind of
-// which one in a hundred trips found no connection. The smallest tables seen take six or more.
+// connections that had lain idle get lost more often than calls on new ones. Or they crowd its table, kept by
+// many couriers that call now and then, at a kind where one trip in a hundred found no connection. The
+// smallest tables seen take six or more.
 func (c *Courier) closes(ep *endpoint) bool {
 	used, fresh := c.lost[0].fade(c.now, rateOver), c.lost[1].fade(c.now, rateOver)
 	calls := ep.sent.fade(c.now, rateOver).weight / c.span(ep.route) // a microsecond
@@ -475,10 +450,9 @@
 		if rt.gap*4 <= rt.knee*5 && rt.gap*4 >= rt.knee*3 {
 			share = 16 // near where it was last refused: a quarter would be refused every third call
 		}
-		if rt.gap = min(rt.gap, 4*gapCeiling); rt.gap < gapStep {
+		if rt.gap = min(rt.gap, 4*gapCeiling) * (share - 1) / share; rt.gap < gapStep {
 			rt.gap = 0
 		}
-		rt.gap -= rt.gap / share
 		if rt.sick && t.sent < rt.sickAt {
 			break // from before the outage: it would start the ramp while the destination is still out
 		}
@@ -492,9 +466,10 @@
 		if e.Wait > 0 {
 			rt.waitTo, rt.lot = max(rt.waitTo, c.now+e.Wait+c.ch.Tick), c.rng.Float64()
 		}
-		// Shut: told to wait longer than any limit asks for, or nothing but refusals for a while. What was
-		// parked meanwhile would push it over the moment it opens.
-		c.strike(rt, o, e.Wait > outageAfter)
+		// Shut: told to wait longer than any limit asks for. What was parked would push it over.
+		if c.strike(rt, &rt.fulls, o); e.Wait > outageAfter {
+			c.sicken(rt)
+		}
 	case Failure, Broken, TimedOut, Unreachable:
 		if hollow {
 			break
@@ -504,7 +479,7 @@
 			break // what was sent later was served: that call was lost, not the destination
 		}
 		ep.fails++
-		c.strike(rt, o, false)
+		c.strike(rt, &rt.strikes, o)
 		if o == TimedOut {
 			rt.took.add(c.now, tookOver, float64(e.Took))
 		}
@@ -562,10 +537,10 @@
 	return float64(rateOver) * (1 - math.Exp(-float64(max(c.now-rt.since, 5*second))/float64(rateOver)))
 }
 
-// widen doubles the gap, once a round, for refusals; among many couriers for failures too, as what all of them
-// try again before one of them sees six in a row would use up a limit, or push over a return.
-// It begins at a sixth of the spacing of this courier's part, as many couriers would have six calls refused on
-// end before a gap from the bare step came near what helps; it ends at that spacing, or a second.
+// widen doubles the gap, once a round, for refusals; among many couriers for failures too, as what all of
+// them try again before one sees six in a row would use up a limit, or push over a return. It begins at a
+// sixth of the spacing of this courier's part, as steps from the bare one would come too late, and ends at
+// that spacing, or a second.
 func (c *Courier) widen(rt *route) {
 	if rt.widened != c.now {
 		part := Micros(float64(second) / c.base(rt))
@@ -639,15 +614,10 @@
 			most, worst = over, t
 		}
 	}
-	if worst == nil {
-		return
-	}
-	for _, t := range slices.Clone(worst.at.route.out) {
-		if t.call == worst.call {
-			t.calledOff = true // a time-out in all but name
-			c.learn(Settled{Outcome: TimedOut, Took: c.now - t.sent}, t)
-			c.do(Cancel{t.rec.id, TripNo(slices.Index(t.rec.trips, t))})
-		}
+	if worst != nil {
+		worst.calledOff = true // a time-out in all but name
+		c.learn(Settled{Outcome: TimedOut, Took: c.now - worst.sent}, worst)
+		c.do(Cancel{worst.rec.id, TripNo(slices.Index(worst.rec.trips, worst))})
 	}
 }
 
@@ -751,8 +721,7 @@
 	case b.state == halfOpen && b.trial != nil:
 		return never
 	}
-	// Silence: two trips overdue and nothing heard since the later was sent. Calls may just get lost, so one
-	// goes now and then all the same; more would take the slots of others.
+	// Silence: two trips overdue, nothing heard since. Calls may just get lost, so one goes now and then.
 	gap, late := c.spacing(rt), 2*c.mean(rt)+second/4
 	if len(rt.out) > 1 && rt.heard < rt.out[1].sent && c.now-rt.out[1].sent > late {
 		gap = max(gap, late)
--- a/logic/state.go
+++ b/logic/state.go
@@ -191,7 +191,7 @@
 
 // end forgets a record that has its answer; trips still out are remembered until their outcome.
 func (c *Courier) end(r *record) {
-	if r.ended {
+	if r == nil || r.ended {
 		return
 	}
 	r.ended = true
@@ -276,8 +276,6 @@
 	since Micros // last change of state
 	used  Micros
 	trial *trip
-	good  tally // outcomes of late: done
-	bad   tally // and failed
 }
 
 // startCall takes a slot for a call to an endpoint.
