Keep runs of failures at an endpoint by workload too, so that a sibling takes what fails there

Cause: any served call ended an endpoint's run of failures, so a workload that alone failed there (class_fail) was never moved. After two failures in a row an endpoint rests for all, a workload that failed twice, or once where calls are rare, rests there by itself. It should also catch an endpoint that is slow or silent for one workload.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -275,6 +275,7 @@
 	h.Write(binary.LittleEndian.AppendUint32(nil, uint32(c.ch.Number)))
 	h.Write(binary.LittleEndian.AppendUint32([]byte(l.Endpoint), uint32(l.Dest)))
 	ep := &endpoint{Listing: l, dest: d, hash: h.Sum64(), heard: -never / 2}
+	ep.runs = make([]run, len(c.ch.Workloads))
 	if d.shape.Apart || len(d.routes) == 0 {
 		d.routes = append(d.routes, &route{dest: d, since: c.now, lastDone: c.now, lastCall: -second,
 			breakers: make([]breaker, len(c.ch.Workloads))})
@@ -415,9 +416,8 @@
 }
 
 // closes tells whether an endpoint's idle connections are better closed. They may have died unseen: calls on
-// connections that had lain idle get lost more often than calls on new ones. Or they crowd its table, kept by
-// many couriers that call now and then, at a kind where one trip in a hundred found no connection. The
-// smallest tables seen take six or more.
+// used connections get lost more often than on new ones. Or they crowd its table (the smallest seen take
+// six), kept by many couriers that call rarely, at a kind where one trip in a hundred found no connection.
 func (c *Courier) closes(ep *endpoint) bool {
 	used, fresh := c.lost[0].fade(c.now, rateOver), c.lost[1].fade(c.now, rateOver)
 	calls := ep.sent.fade(c.now, rateOver).weight / c.span(ep.route) // a microsecond
@@ -459,7 +459,8 @@
 		if rt.sick || rt.strikes > 2 && c.now-rt.lastDone > outageAfter {
 			rt.cold, rt.coldSince = true, c.now
 		}
-		rt.sick, rt.fulls, rt.strikes, ep.fails, rt.lastDone = false, 0, 0, 0, c.now
+		rt.sick, rt.fulls, rt.strikes, rt.lastDone = false, 0, 0, c.now
+		ep.run.fails, ep.runs[t.rec.class].fails = 0, 0
 		rt.servedSent = max(rt.servedSent, t.sent)
 	case Full:
 		c.widen(rt)
@@ -478,7 +479,6 @@
 			c.lost[t.fresh].add(c.now, rateOver, 1)
 			break // what was sent later was served: that call was lost, not the destination
 		}
-		ep.fails++
 		c.strike(rt, &rt.strikes, o)
 		if o == TimedOut {
 			rt.took.add(c.now, tookOver, float64(e.Took))
@@ -486,8 +486,10 @@
 		if rt.strikes >= len(rt.dest.endpoints) && c.base(rt) < rare {
 			c.widen(rt) // so few calls that six failures in a row come too late
 		}
-		if ep.fails >= 2 {
-			ep.restTo = c.now + min(8*second, second<<min(ep.fails, 4))
+		for _, n := range []*run{&ep.run, &ep.runs[t.rec.class]} { // one workload may fail where others do not
+			if n.fails++; n.fails >= 2 || n != &ep.run && c.base(rt) < rare {
+				n.restTo = c.now + min(8*second, second<<min(n.fails, 4))
+			}
 		}
 	}
 	if o == Done || o == Failure || o == Full {
@@ -537,10 +539,9 @@
 	return float64(rateOver) * (1 - math.Exp(-float64(max(c.now-rt.since, 5*second))/float64(rateOver)))
 }
 
-// widen doubles the gap, once a round, for refusals; among many couriers for failures too, as what all of
-// them try again before one sees six in a row would use up a limit, or push over a return. It begins at a
-// sixth of the spacing of this courier's part, as steps from the bare one would come too late, and ends at
-// that spacing, or a second.
+// widen doubles the gap, once a round, for refusals; among many couriers for failures too, as what all try
+// again before one sees six in a row would use up a limit, or push over a return. It begins at a sixth of
+// the spacing of this courier's part, as the bare step would come too late, and ends at that, or a second.
 func (c *Courier) widen(rt *route) {
 	if rt.widened != c.now {
 		part := Micros(float64(second) / c.base(rt))
@@ -682,10 +683,8 @@
 		c.look(at)
 		return false
 	}
-	if r.mayRan && r.work.Repeat == Referenced {
-		return c.now < r.ranAt+r.work.Window-c.ch.Tick && (!r.work.OneZone || ep.Zone == r.ranZone)
-	}
-	return true
+	return !r.mayRan || r.work.Repeat != Referenced ||
+		c.now < r.ranAt+r.work.Window-c.ch.Tick && (!r.work.OneZone || ep.Zone == r.ranZone)
 }
 
 // place finds the endpoint for a record: the first in rank, the next when that one has enough.
@@ -699,7 +698,7 @@
 			c.look(at)
 			continue
 		}
-		if ep.restTo > c.now || ep == r.last {
+		if max(ep.restTo, ep.runs[r.class].restTo) > c.now || ep == r.last {
 			spare = cmp.Or(spare, ep)
 			continue
 		}
--- a/logic/state.go
+++ b/logic/state.go
@@ -113,8 +113,14 @@
 	sent      tally  // calls
 	heard     Micros // last answer
 	idleSince Micros
-	fails     int // in a row
-	restTo    Micros
+	run             // of failures in all
+	runs      []run // and by workload
+}
+
+// run is how often in a row trips to an endpoint failed, and how long it rests for that.
+type run struct {
+	fails  int
+	restTo Micros
 }
 
 // route is what waits, gap, breakers and pace are kept for: a destination, or each endpoint apart.
