A part of the new records goes by lot at a sick or cold route where this courier calls rarely

Cause: once an outage was seen, a courier among 188 kept the pace of its part, a call in some minutes, and so never came back. Each new record now draws a lot once; lots under 0.4 of the fall multiple times the warm share go at once, so that all couriers together send that part of what they usually do. It should also serve hangs and shuts; a lost lot waits as before.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -110,7 +110,7 @@
 	}
 	w, d := &c.ch.Workloads[e.Workload], c.destination(e.Dest)
 	r := &record{id: e.Record, dest: d, class: e.Workload, work: w, cutOff: e.CutOff, payoff: w.Payoff,
-		due: min(e.CutOff-w.Life+w.Quoted, e.CutOff)}
+		due: min(e.CutOff-w.Life+w.Quoted, e.CutOff), lot: c.rng.Float64()}
 	if e.CutOff < c.now+w.Quoted && !e.Again {
 		r.due = e.CutOff // a client with little patience: its record is not late, but lost soon
 	}
@@ -550,15 +550,19 @@
 	}
 }
 
-// spacing is the least time between two calls on a route.
-func (c *Courier) spacing(rt *route) Micros {
-	gap := rt.gap
-	warm := c.ch.ColdFrom
+// warmth is the share of its capacity that a route has, as far as is known.
+func (c *Courier) warmth(rt *route) float64 {
+	warm := max(c.ch.ColdFrom, 0.05)
 	if rt.cold {
-		if warm += (1 - warm) * float64(c.now-rt.coldSince) / float64(max(1, c.ch.Ramp)); warm >= 1 {
-			rt.cold = false
-		}
+		warm += (1 - warm) * float64(c.now-rt.coldSince) / float64(max(1, c.ch.Ramp))
+		rt.cold = warm < 1
 	}
+	return warm
+}
+
+// spacing is the least time between two calls on a route.
+func (c *Courier) spacing(rt *route) Micros {
+	gap, warm := rt.gap, c.warmth(rt)
 	if rt.told && rt.left < scarce {
 		// A limit that is nearly used up, or has shrunk: keep to this courier's part of it.
 		gap = max(gap, Micros((1-rt.left/scarce)*float64(second)/c.base(rt)))
@@ -567,7 +571,7 @@
 		// Under the fall multiple, as others may send beyond their part; and not far over what it can do,
 		// as the rest would only be refused. One a second from all couriers together is always let through.
 		part := max(c.base(rt), c.own(rt)) * min(0.8*max(c.ch.FallMultiple, 1), 1.25)
-		pace := Micros(float64(second) / (part * max(warm, 0.05)))
+		pace := Micros(float64(second) / (part * warm))
 		gap = max(gap, min(pace, Micros(max(2, c.ch.Couriers))*second))
 	}
 	return gap
@@ -725,6 +729,12 @@
 	if len(rt.out) > 1 && rt.heard < rt.out[1].sent && c.now-rt.out[1].sent > late {
 		gap = max(gap, late)
 	}
+	// A courier that calls rarely cannot keep a pace: a part of its new records goes at once, and all of the
+	// couriers together send that part of what they usually do. The lot of a record is drawn once.
+	if (rt.sick || rt.cold) && c.base(rt) < rare && len(r.trips) == 0 &&
+		r.lot < 0.4*c.ch.FallMultiple*c.warmth(rt) {
+		gap = 0
+	}
 	// All who were told when a shut destination opens would be there at that instant: each draws a lot.
 	return max(rt.waitTo+Micros(rt.lot*float64(gap)), rt.lastCall+gap)
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -64,6 +64,7 @@
 	due     Micros
 	cutOff  Micros
 	payoff  float64
+	lot     float64 // its place among the records of all couriers
 	loss    float64 // by waiting a second longer
 	line    *keyLine
 	trips   []*trip
