Refused couriers that call rarely come again after 4 to 16 s; one refusal can be an outage

Where no limit is told and the part is under a call in four seconds, the gap now begins at 4 to 16 s by chance, and one refusal is an outage where most couriers alike will have seen one.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -111,9 +111,6 @@
 	w, d := &c.ch.Workloads[e.Workload], c.destination(e.Dest)
 	r := &record{id: e.Record, dest: d, class: e.Workload, work: w, cutOff: e.CutOff, payoff: w.Payoff,
 		due: min(e.CutOff-w.Life+w.Quoted, e.CutOff), lot: c.rng.Float64()}
-	if e.CutOff < c.now+w.Quoted && !e.Again {
-		r.due = e.CutOff // a client with little patience: its record is not late, but lost soon
-	}
 	switch {
 	case !c.withinShare(e.Party):
 		r.payoff *= c.ch.OverSharePart
@@ -170,16 +167,12 @@
 	return at
 }
 
-// allowedTrips goes by payoff: the dearest workload gets all that the charter allows. Trips turned away
-// unseen cost the destination next to nothing and count only against the charter.
-func (c *Courier) allowedTrips(r *record) int {
-	more := float64(c.ch.MaxTrips-1) * r.payoff / max(c.topPayoff, 1e-9)
-	return min(c.ch.MaxTrips, max(2, 1+int(math.Ceil(more))))
-}
-
-// mayGoAgain tells whether the rules and the allowance leave a record another trip, somewhere.
+// mayGoAgain tells whether the rules and the allowance leave a record another trip, somewhere. The allowance
+// goes by payoff: the dearest workload gets all that the charter allows. Trips turned away unseen cost next
+// to nothing and count only against the charter.
 func (c *Courier) mayGoAgain(r *record) bool {
-	return len(r.trips) < c.ch.MaxTrips && len(r.trips)-r.refused < c.allowedTrips(r) &&
+	more := float64(c.ch.MaxTrips-1) * r.payoff / max(c.topPayoff, 1e-9)
+	return len(r.trips) < c.ch.MaxTrips && len(r.trips)-r.refused < max(2, 1+int(math.Ceil(more))) &&
 		(!r.mayRan || r.work.Repeat == Replayable || c.now < r.ranAt+r.work.Window && r.work.Repeat == Referenced)
 }
 
@@ -242,11 +235,9 @@
 
 func (c *Courier) list(e ListNews) {
 	if e.How == ListError {
-		c.asks++
-		c.askAt = c.now + min(4*second, second/2<<min(c.asks, 3)) + Micros(c.rng.Int63n(int64(second)))
+		c.askAt = c.now + second + Micros(c.rng.Int63n(int64(3*second))) // the list answers all in some seconds
 		return
 	}
-	c.asks = 0
 	if e.How != Partial {
 		for _, ep := range c.endpoints {
 			ep.Phase = Gone
@@ -301,8 +292,6 @@
 	return fee
 }
 
-// ---- the breaker
-
 const (
 	tripsAt    = 5              // opens when more failures than this come in a row (DESIGN)
 	openPeriod = 5 * second / 2 // half of DESIGN's starting value: outages here last 5 to 25 s
@@ -324,8 +313,7 @@
 
 func (c *Courier) open(b *breaker, rt *route) {
 	b.state, b.since, b.fails, b.trial = open, c.now, 0, nil
-	// Spread by a tenth, so that couriers that opened together do not try together.
-	b.until = c.now + openPeriod + Micros(c.rng.Int63n(int64(openPeriod/10)))
+	b.until = c.now + openPeriod + Micros(c.rng.Int63n(int64(openPeriod/10))) // not all at once
 	c.sicken(rt)
 }
 
@@ -346,7 +334,9 @@
 func (c *Courier) strike(rt *route, signs *int, o Outcome) {
 	few := 3
 	if c.base(rt) < rare && o != Unreachable && (o != Full || rt.rate == 0) {
-		few = 2
+		if few = 2; o == Full && c.seen(rt) > 0.04 {
+			few = 1 // during an outage most couriers like this one will have seen one
+		}
 	}
 	if *signs++; *signs >= few && c.now-rt.lastDone > outageAfter {
 		c.sicken(rt)
@@ -379,8 +369,6 @@
 	}
 }
 
-// ---- outcomes
-
 func (c *Courier) settle(e Settled) {
 	r := c.records[e.Record]
 	if r == nil || int(e.Trip) >= len(r.trips) || r.trips[e.Trip].over {
@@ -498,8 +486,6 @@
 	c.judge(&rt.breakers[t.rec.class], rt, t, o, hollow)
 }
 
-// ---- the gap and the pace
-
 const (
 	gapStep    = 10 * millisecond // DESIGN's starting values
 	gapCeiling = second
@@ -520,8 +506,7 @@
 	return max(1.3*c.own(rt), 1/couriers) // nothing listed: a limit is mostly well over the usual calls
 }
 
-// own is what this courier had done there before an outage, with room: a limit lies at or above the calls
-// at full load, and capacity above that.
+// own is what this courier had done there before an outage, with room, as limits lie above the usual calls.
 func (c *Courier) own(rt *route) float64 { return 1.4 * max(rt.usual, c.seen(rt)) }
 
 // seen is the rate of done calls; a courier that has only just started goes by what it is handed within
@@ -546,7 +531,11 @@
 	if rt.widened != c.now {
 		part := Micros(float64(second) / c.base(rt))
 		rt.widened, rt.knee = c.now, rt.gap
-		rt.gap = min(max(gapCeiling, part), max(gapStep, min(part/6, 4*gapCeiling), 2*rt.gap))
+		step := min(part/6, 4*gapCeiling)
+		if rt.rate == 0 && c.base(rt) < rare {
+			step = 4*gapCeiling + Micros(c.rng.Int63n(int64(12*gapCeiling)))
+		}
+		rt.gap = min(max(gapCeiling, part), max(gapStep, step, 2*rt.gap))
 	}
 }
 
@@ -577,8 +566,6 @@
 	return gap
 }
 
-// ---- dispatch
-
 // dispatch sends what may go, where a slot gains most first; a pass gives each destination one call, and none
 // may have more out than slots are left, so that none starves the rest.
 func (c *Courier) dispatch() {
--- a/logic/state.go
+++ b/logic/state.go
@@ -36,7 +36,6 @@
 	crowd     []tally  // signs of full connection tables, by shape
 	lookAt    Micros   // when something held may next be done
 	wakeAt    Micros   // the earliest wake-up asked for
-	asks      int      // times in a row that asking for the list failed
 	askAt     Micros
 	topPayoff float64
 }
