Lots won at a sick route still wait for the place drawn after a told wait

The lot of a record now frees it of the pace since the last call, not of the place after a told wait.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -64,9 +64,7 @@
 	return c.out
 }
 
-func (c *Courier) do(a Action) { c.out = append(c.out, a) }
-
-// look asks for a look at the held records at an instant.
+func (c *Courier) do(a Action)    { c.out = append(c.out, a) }
 func (c *Courier) look(at Micros) { c.lookAt = min(c.lookAt, at) }
 
 // Answer times are kept over some tens of answers at usual traffic; a trouble lasts about as long.
@@ -716,12 +714,13 @@
 	if len(rt.out) > 1 && rt.heard < rt.out[1].sent && c.now-rt.out[1].sent > late {
 		gap = max(gap, late)
 	}
-	// A courier that calls rarely cannot keep a pace: a part of its new records goes at once, and all of the
-	// couriers together send that part of what they usually do. The lot of a record is drawn once.
-	if (rt.sick || rt.cold) && c.base(rt) < rare && len(r.trips) == 0 &&
-		r.lot < 0.4*c.ch.FallMultiple*c.warmth(rt) {
-		gap = 0
-	}
 	// All who were told when a shut destination opens would be there at that instant: each draws a lot.
-	return max(rt.waitTo+Micros(rt.lot*float64(gap)), rt.lastCall+gap)
+	at := rt.waitTo + Micros(rt.lot*float64(gap))
+	// A courier that calls rarely cannot keep a pace: a part of its new records, by lot, goes at once, so that
+	// all couriers together send that part of what they usually do.
+	won := len(r.trips) == 0 && r.lot < 0.4*c.ch.FallMultiple*c.warmth(rt)
+	if won && (rt.sick || rt.cold) && c.base(rt) < rare {
+		return at
+	}
+	return max(at, rt.lastCall+gap)
 }
