Two trips without a connection are signs enough where calls are rare

Two in a row from a full table are rare since idle connections are closed, so they count like other failures; where routes are apart each widens its gap at its first.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -327,11 +327,11 @@
 }
 
 // strike counts a sign of an outage: three alike in a row with nothing served for a while, or two where this
-// courier calls rarely, as hundreds that saw one or two would push a return over together. Unreachable may be
-// a full table, and a refusal a limit that is listed: those need three.
+// courier calls rarely, as hundreds that saw one or two would push a return over together. A refusal may
+// speak of a limit that is listed: those need three.
 func (c *Courier) strike(rt *route, signs *int, o Outcome) {
 	few := 3
-	if c.base(rt) < rare && o != Unreachable && (o != Full || rt.rate == 0) {
+	if c.base(rt) < rare && (o != Full || rt.rate == 0) {
 		if few = 2; o == Full && c.seen(rt) > 0.04 {
 			few = 1 // during an outage most couriers like this one will have seen one
 		}
@@ -469,7 +469,7 @@
 		if o == TimedOut {
 			rt.took.add(c.now, tookOver, float64(e.Took))
 		}
-		if rt.strikes >= len(rt.dest.endpoints) && c.base(rt) < rare {
+		if (rt.dest.shape.Apart || rt.strikes >= len(rt.dest.endpoints)) && c.base(rt) < rare {
 			c.widen(rt) // so few calls that six failures in a row come too late
 		}
 		for _, n := range []*run{&ep.run, &ep.runs[t.rec.class]} { // one workload may fail where others do not
