--- a/logic/logic.go
+++ b/logic/logic.go
@@ -530,7 +530,7 @@
 		part := Micros(float64(second) / c.base(rt))
 		rt.widened, rt.knee = c.now, rt.gap
 		step := min(part/6, 4*gapCeiling)
-		if rt.rate == 0 && c.base(rt) < rare {
+		if c.base(rt) < rare {
 			step = 4*gapCeiling + Micros(c.rng.Int63n(int64(12*gapCeiling)))
 		}
 		rt.gap = min(max(gapCeiling, part), max(gapStep, step, 2*rt.gap))
