--- a/logic/logic.go
+++ b/logic/logic.go
@@ -332,8 +332,8 @@
 func (c *Courier) strike(rt *route, signs *int, o Outcome) {
 	few := 3
 	if c.base(rt) < rare && (o != Full || rt.rate == 0) {
-		if few = 2; o == Full && c.seen(rt) > 0.04 {
-			few = 1 // during an outage most couriers like this one will have seen one
+		if few = 2; o == Full {
+			few = 1 // all that most couriers like this one will see of it
 		}
 	}
 	if *signs++; *signs >= few && c.now-rt.lastDone > outageAfter {
