--- a/cmd/pineport/main.go
+++ b/cmd/pineport/main.go
@@ -28,6 +28,8 @@
 }
 
 func run(log *slog.Logger) error {
+	hangups := make(chan os.Signal, 1) // first of all, or a hangup would end the process; one more stands for many
+	signal.Notify(hangups, syscall.SIGHUP)
 	dep, err := config.Load(os.Getenv)
 	if err != nil {
 		return err
@@ -52,5 +54,15 @@
 		<-signals
 		close(stop)
 	}()
-	return router.Run(stop, grace)
+	reloads := make(chan *config.Deployment)
+	go func() {
+		for range hangups {
+			if next, err := config.Reload(os.Getenv); err != nil {
+				log.Error("new configuration left out", "fault", err)
+			} else {
+				reloads <- next
+			}
+		}
+	}()
+	return router.Run(stop, reloads, grace)
 }
--- a/cmd/pineport/main_test.go
+++ b/cmd/pineport/main_test.go
@@ -269,6 +269,79 @@
 	waitFor(t, "y", 5*time.Second, func() bool { _, done, _ := w.Seen("y"); return done == 1 })
 }
 
+// TestReload: on SIGHUP a faulty file changes nothing and its key is logged; a sound one moves watch and notices, those
+// not confirmed too, while what is held stays. Twice in a row, beside records that come in.
+func TestReload(t *testing.T) {
+	w, err := standin.Open(1, func(id string) standin.Fate {
+		switch id[:4] {
+		case "slow":
+			return standin.Fate{Status: 200, After: 900 * time.Millisecond}
+		case "fail":
+			return standin.Fate{Status: 500, After: 400 * time.Millisecond}
+		}
+		return standin.Fate{Status: 200}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer w.Close()
+	c := newCourier(t, w)
+	c.start()
+	file := filepath.Join(c.dir, "config.json")
+	reload := func(text []byte, says string) {
+		t.Helper()
+		before := strings.Count(c.said(), says)
+		if err := os.WriteFile(file, text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		c.cmd.Process.Signal(syscall.SIGHUP)
+		waitFor(t, says, 5*time.Second, func() bool { return strings.Count(c.said(), says) > before })
+	}
+	reload([]byte(`{"name":"n0"}`), "listen: ")
+	reload([]byte(strings.ReplaceAll(string(w.Configuration("n0", c.listen)), w.Discovery, "nowhere")), "discovery: ")
+	for round := range 2 {
+		w.MuteNotices(100) // the old address confirms nothing any more
+		var all []string
+		for _, kind := range []string{"slow", "fail"} {
+			all = append(all, enqueue(fmt.Sprintf("%s-%d", kind, round), "order", 8000))
+		}
+		c.ask(all...)
+		time.Sleep(600 * time.Millisecond) // one has failed, and its notice is out
+		leave, err := w.Move()
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.MuteNotices(0)
+		if err := w.Grow(2 + round); err != nil {
+			t.Fatal(err)
+		}
+		reload(w.Configuration("n0", c.listen), "read anew")
+		leave()
+		waitFor(t, "notice", 2*time.Second, func() bool {
+			_, _, notices := w.Seen(fmt.Sprintf("fail-%d", round))
+			return len(notices) > 0
+		})
+		waitFor(t, "slow", 2*time.Second, func() bool {
+			_, done, _ := w.Seen(fmt.Sprintf("slow-%d", round))
+			return done == 1
+		})
+		id := fmt.Sprintf("next-%d", round) // to a destination that only the new address knows of
+		c.ask(strings.Replace(enqueue(id, "update", 8000), "dest=1", fmt.Sprint("dest=", 2+round), 1))
+		waitFor(t, id, 2*time.Second, func() bool { _, done, _ := w.Seen(id); return done == 1 })
+	}
+	for round := range 2 {
+		if began, _, _ := w.Seen(fmt.Sprintf("slow-%d", round)); began != 1 {
+			t.Errorf("round %d: begun %d times", round, began)
+		}
+	}
+	c.cmd.Process.Signal(syscall.SIGTERM)
+	time.Sleep(100 * time.Millisecond)
+	c.cmd.Process.Signal(syscall.SIGHUP) // while it ends
+	if err := c.cmd.Wait(); err != nil {
+		t.Errorf("after SIGHUP: %v", err)
+	}
+}
+
 // TestStoodStill: a process that stood still takes its own delay for nobody's silence. The answers are there when it
 // goes on, so nothing goes twice though every limit has passed.
 func TestStoodStill(t *testing.T) {
--- a/config/config.go
+++ b/config/config.go
@@ -7,6 +7,8 @@
 	"net"
 	"os"
 	"path/filepath"
+	"reflect"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -66,6 +68,43 @@
 	return d, nil
 }
 
+// Reload reads the file anew for a process that runs. Its own environment is as old as the process, so of the address
+// of discovery the file knows better.
+func Reload(getenv func(string) string) (*Deployment, error) {
+	return Load(func(key string) string {
+		if key == "RELAY_DISCOVERY" {
+			return ""
+		}
+		return getenv(key)
+	})
+}
+
+// Waiting names what a configuration read anew says otherwise and a process that runs cannot take over.
+func (d *Deployment) Waiting(next *Deployment) (keys []string) {
+	for _, part := range []struct {
+		key  string
+		same bool
+	}{
+		{"name", d.Name == next.Name},
+		{"listen", d.Listen == next.Listen},
+		{"limits", d.Cores == next.Cores && d.MemoryMB == next.MemoryMB && d.Sockets == next.Sockets && d.SpoolMB == next.SpoolMB},
+		{"settings", d.sameSettings(next)},
+	} {
+		if !part.same {
+			keys = append(keys, part.key)
+		}
+	}
+	return keys
+}
+
+func (d *Deployment) sameSettings(next *Deployment) bool {
+	a, b := d.Charter, next.Charter
+	a.Salt, b.Salt = 0, 0 // new with each writing of the file
+	return reflect.DeepEqual(a, b) && slices.Equal(d.Workloads, next.Workloads) && slices.Equal(d.Zones, next.Zones) &&
+		slices.Equal(d.Shapes, next.Shapes) && slices.Equal(d.Parties, next.Parties) && slices.Equal(d.Report, next.Report) &&
+		d.ConnectTimeout == next.ConnectTimeout
+}
+
 // parse reads the file; variables go before what it says of the same.
 func parse(text []byte, getenv func(string) string) (*Deployment, error) {
 	var top map[string]any
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 
@@ -11,8 +12,8 @@
 	"pineport/logic"
 )
 
-// load writes a configuration changed by edit and reads it.
-func load(t *testing.T, edit func(top, settings map[string]any), env map[string]string) (*Deployment, error) {
+// load writes a configuration changed by edit and has it read.
+func load(t *testing.T, read func(func(string) string) (*Deployment, error), edit func(top, settings map[string]any), env map[string]string) (*Deployment, error) {
 	t.Helper()
 	dir := t.TempDir()
 	var top map[string]any
@@ -35,11 +36,11 @@
 	for key, value := range env {
 		all[key] = value
 	}
-	return Load(func(key string) string { return all[key] })
+	return read(func(key string) string { return all[key] })
 }
 
 func TestReadsWhatItIsTold(t *testing.T) {
-	d, err := load(t, func(top, settings map[string]any) {
+	d, err := load(t, Load, func(top, settings map[string]any) {
 		top["surprise"] = map[string]any{"x": nil}
 		settings["surprise"] = []any{1}
 		settings["telemetry"] = map[string]any{"fields": []string{"x1", "x0"}}
@@ -74,14 +75,36 @@
 		"settings.classes.1.deadline-s":     func(_, s map[string]any) { s["classes"].([]any)[1].(map[string]any)["deadline-s"] = 0 },
 		"settings.ceilings.max-retry-after": func(_, s map[string]any) { inner(s, "ceilings")["max-retry-after-s"] = "x" },
 	} {
-		if d, err := load(t, edit, nil); err == nil || !strings.Contains(err.Error(), ": "+key) {
+		if d, err := load(t, Load, edit, nil); err == nil || !strings.Contains(err.Error(), ": "+key) {
 			t.Errorf("%s: got %v, %v", key, d, err)
 		}
 	}
-	if _, err := load(t, nil, map[string]string{"RELAY_STATE": ""}); err == nil || !strings.Contains(err.Error(), "RELAY_STATE") {
+	if _, err := load(t, Load, nil, map[string]string{"RELAY_STATE": ""}); err == nil || !strings.Contains(err.Error(), "RELAY_STATE") {
 		t.Errorf("got %v", err)
 	}
-	if _, err := load(t, nil, map[string]string{"RELAY_CONFIG": "/nowhere"}); err == nil || !strings.Contains(err.Error(), "RELAY_CONFIG") {
+	if _, err := load(t, Load, nil, map[string]string{"RELAY_CONFIG": "/nowhere"}); err == nil || !strings.Contains(err.Error(), "RELAY_CONFIG") {
 		t.Errorf("got %v", err)
 	}
 }
+
+// TestReadAnew: the file goes before the variable that the process was started with, and what has to wait is named.
+func TestReadAnew(t *testing.T) {
+	env := map[string]string{"RELAY_DISCOVERY": "127.0.0.2:1"}
+	first, err := load(t, Load, nil, env)
+	if err != nil || first.Discovery != "127.0.0.2:1" {
+		t.Fatal(first, err)
+	}
+	moved, err := load(t, Reload, func(top, _ map[string]any) { top["discovery"], top["seed"] = "127.0.0.3:1", "1" }, env)
+	if err != nil || moved.Discovery != "127.0.0.3:1" || len(first.Waiting(moved)) > 0 {
+		t.Error(moved, err, first.Waiting(moved))
+	}
+	other, err := load(t, Reload, func(top, settings map[string]any) {
+		top["limits"].(map[string]any)["sockets"], settings["tick-s"] = 99, 0.01
+	}, env)
+	if err != nil || !slices.Equal(first.Waiting(other), []string{"limits", "settings"}) {
+		t.Error(other, err, first.Waiting(other))
+	}
+	if _, err := load(t, Reload, func(top, _ map[string]any) { delete(top, "discovery") }, env); err == nil {
+		t.Error("read without discovery")
+	}
+}
--- a/example/standin/standin.go
+++ b/example/standin/standin.go
@@ -32,46 +32,69 @@
 	mu      sync.Mutex
 	fate    func(id string) Fate
 	seq     int
+	dests   []int          // of the endpoints
 	began   map[string]int // calls that were begun, by record
 	done    map[string]int
 	notices map[string][]string
 	mute    int // calls with notices that will get no answer
 	servers []*http.Server
+	home    *http.Server // discovery's
 }
 
 // Open starts a world with so many endpoints; fate decides for each call.
 func Open(endpoints int, fate func(id string) Fate) (*World, error) {
-	w := &World{fate: fate, seq: 1, began: map[string]int{}, done: map[string]int{}, notices: map[string][]string{}}
-	serve := func(mux *http.ServeMux) (string, error) {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return "", err
-		}
-		s := &http.Server{Handler: mux}
-		w.servers = append(w.servers, s)
-		go s.Serve(l)
-		return l.Addr().String(), nil
-	}
-	platform := http.NewServeMux()
-	platform.HandleFunc("GET /v1/servers", w.list)
-	platform.HandleFunc("POST /v1/notices", w.notice)
-	var err error
-	if w.Discovery, err = serve(platform); err != nil {
+	w := &World{fate: fate, seq: 1 - endpoints, began: map[string]int{}, done: map[string]int{}, notices: map[string][]string{}}
+	if err := w.settle(); err != nil {
 		return nil, err
 	}
 	for range endpoints {
-		mux := http.NewServeMux()
-		mux.HandleFunc("POST /hook", w.hook)
-		mux.HandleFunc("POST /hook/batch", w.batch)
-		addr, err := serve(mux)
-		if err != nil {
+		if err := w.Grow(1); err != nil {
 			return nil, err
 		}
-		w.Endpoints = append(w.Endpoints, addr)
 	}
 	return w, nil
 }
 
+func (w *World) serve(mux *http.ServeMux) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	s := &http.Server{Handler: mux}
+	w.servers = append(w.servers, s)
+	go s.Serve(l)
+	return l.Addr().String(), nil
+}
+
+// settle serves discovery and the platform at a new address.
+func (w *World) settle() (err error) {
+	platform := http.NewServeMux()
+	platform.HandleFunc("GET /v1/servers", w.list)
+	platform.HandleFunc("POST /v1/notices", w.notice)
+	w.Discovery, err = w.serve(platform)
+	w.home = w.servers[len(w.servers)-1]
+	return err
+}
+
+// Move serves discovery at a new address; leave ends the old one.
+func (w *World) Move() (leave func(), err error) {
+	old := w.home
+	return func() { old.Close() }, w.settle()
+}
+
+// Grow adds an endpoint; whoever watches is not told before the next list.
+func (w *World) Grow(dest int) error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /hook", w.hook)
+	mux.HandleFunc("POST /hook/batch", w.batch)
+	addr, err := w.serve(mux)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.Endpoints, w.dests = append(w.Endpoints, addr), append(w.dests, dest)
+	w.seq++
+	return err
+}
+
 // MuteNotices leaves so many calls with notices without an answer, unread.
 func (w *World) MuteNotices(calls int) {
 	w.mu.Lock()
@@ -88,11 +111,13 @@
 
 // Known is the list in discovery's form.
 func (w *World) Known() json.RawMessage {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	type host map[string]any
 	hosts := []host{}
 	for i, addr := range w.Endpoints {
 		hosts = append(hosts, host{"host": fmt.Sprintf("s-%d", i), "dial": addr, "site": "a", "class": "plain",
-			"block": 1, "health": "in_service", "share": 50.0, "born_ms": 0})
+			"block": w.dests[i], "health": "in_service", "share": 50.0, "born_ms": 0})
 	}
 	text, _ := json.Marshal(map[string]any{"seq": w.seq, "whole": true, "hosts": hosts})
 	return text
@@ -106,14 +131,17 @@
 			return
 		}
 	}
-	if index >= w.seq {
+	w.mu.Lock()
+	seq := w.seq
+	w.mu.Unlock()
+	if index >= seq {
 		wait, _ := strconv.Atoi(r.FormValue("wait"))
 		select {
 		case <-time.After(time.Duration(min(wait, 60000)) * time.Millisecond):
 		case <-r.Context().Done():
 			return
 		}
-		fmt.Fprintf(rw, `{"seq":%d,"whole":false,"hosts":[]}`, w.seq)
+		fmt.Fprintf(rw, `{"seq":%d,"whole":false,"hosts":[]}`, seq)
 		return
 	}
 	rw.Write(w.Known())
--- a/routing/platform.go
+++ b/routing/platform.go
@@ -108,6 +108,22 @@
 	p.watch()
 }
 
+// moved leaves the address that was used so far. The new one is asked for news at once and told all that the old one
+// has not confirmed; a notice that both hear of does no harm.
+func (p *platform) moved(old string) {
+	p.r.links.abort(p.watching)
+	p.watching = nil
+	for _, t := range p.calls {
+		p.r.links.abort(t.x)
+	}
+	p.calls = nil
+	for _, o := range p.owed {
+		o.next, o.tries = p.r.now, 0
+	}
+	p.r.links.closeIdle(old)
+	p.watch()
+}
+
 // tell owes the platform the end of a record.
 func (p *platform) tell(k *spool.Record) {
 	p.owed = append(p.owed, &owed{until: logic.Micros(k.CutOff) + noticeLong,
--- a/routing/router.go
+++ b/routing/router.go
@@ -108,8 +108,9 @@
 	return r, nil
 }
 
-// Run listens and works until stop is closed; then it goes on for as long as grace allows.
-func (r *Router) Run(stop <-chan struct{}, grace time.Duration) error {
+// Run listens and works until stop is closed; then it goes on for as long as grace allows. What comes in over reloads
+// is taken over as far as a process that runs can.
+func (r *Router) Run(stop <-chan struct{}, reloads <-chan *config.Deployment, grace time.Duration) error {
 	driver, err := transport.Open(r.dep.Listen, r.dep.Sockets, r.log, r.clients.accept)
 	if err != nil {
 		return err
@@ -127,6 +128,7 @@
 		select {
 		case what = <-r.inbox:
 		case <-timer.C:
+		case what = <-reloads:
 		case <-stop:
 			stop = nil
 			r.endBy = r.clock() + logic.Micros(grace.Microseconds())
@@ -216,6 +218,8 @@
 		r.clients.gone(e)
 	case *client:
 		r.clients.add(e)
+	case *config.Deployment:
+		r.reload(e)
 	case linkUp:
 		r.links.up(e)
 	case linkAnswer:
@@ -225,6 +229,19 @@
 	}
 }
 
+// reload takes over what a configuration read anew changes: where discovery and the platform are. All that is held,
+// out or told to wait stays as it is.
+func (r *Router) reload(next *config.Deployment) {
+	r.log.Info("configuration read anew", "discovery", next.Discovery)
+	if waiting := r.dep.Waiting(next); len(waiting) > 0 {
+		r.log.Warn("changes that wait for the next start", "keys", waiting)
+	}
+	if old := r.dep.Discovery; next.Discovery != old {
+		r.dep.Discovery = next.Discovery
+		r.platform.moved(old)
+	}
+}
+
 // due is when something is to be done next, unasked.
 func (r *Router) due() logic.Micros {
 	at := min(r.wakeAt, r.links.due(), r.platform.due(), r.endBy, r.partAt)
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -85,7 +85,7 @@
 	r.begin = func() decider { return failing{begin(), "bad", &times} }
 	r.courier = failing{r.courier, "bad", &times}
 	stop, ended := make(chan struct{}), make(chan error)
-	go func() { ended <- r.Run(stop, 50*time.Millisecond) }()
+	go func() { ended <- r.Run(stop, nil, 50*time.Millisecond) }()
 	t.Cleanup(func() {
 		close(stop)
 		if err := <-ended; err != nil {
