--- a/cmd/pineport/main_test.go
+++ b/cmd/pineport/main_test.go
@@ -2,8 +2,9 @@
 
 import (
 	"bufio"
-	"bytes"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"os/exec"
@@ -123,6 +124,24 @@
 	return lines
 }
 
+// raw sends bytes and returns what came until the other side closed.
+func (c *courier) raw(text string) string {
+	c.t.Helper()
+	conn, err := net.Dial("tcp", c.listen)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(5 * time.Second))
+	io.WriteString(conn, text)
+	all, err := io.ReadAll(conn)
+	var late net.Error
+	if errors.As(err, &late) && late.Timeout() {
+		c.t.Errorf("%.40q: neither an error nor a close", text)
+	}
+	return string(all)
+}
+
 // fates by the first letters of an id; the first call of some differs from the rest.
 func fates() func(id string) standin.Fate {
 	var mu sync.Mutex
@@ -250,18 +269,14 @@
 			t.Errorf("line %d: %q, want %s", i, got[i], want)
 		}
 	}
-	for _, bad := range []string{"GET / HTTP/1.1\r\n\r\n", "*1\r\n$70000\r\n"} {
-		conn, err := net.Dial("tcp", c.listen)
-		if err != nil {
-			t.Fatal(err)
-		}
-		conn.SetDeadline(time.Now().Add(5 * time.Second))
-		fmt.Fprint(conn, command("PING")+bad)
-		var all bytes.Buffer
-		if _, err := all.ReadFrom(conn); err != nil || !strings.HasPrefix(all.String(), "+PONG\r\n-ERR ") {
-			t.Errorf("%q: %q, %v", bad, all.String(), err)
+	for _, bad := range []string{"GET / HTTP/1.1\r\n\r\n", "*1\r\n$70000\r\n", "*1\r\n$-5\r\n", strings.Repeat("x", 100)} {
+		if got := c.raw(command("PING") + bad); !strings.HasPrefix(got, "+PONG\r\n-ERR ") {
+			t.Errorf("%q: %q", bad, got)
 		}
-		conn.Close()
+	}
+	if got := c.ask(strings.Replace(enqueue("x", "update", 8000), "dest=1", "dest=9", 1), enqueue("y", "update", 8000)); got[0][:4] != "-ERR" ||
+		got[1] != "+OK" {
+		t.Errorf("an unknown destination, and an id that is there: %v", got)
 	}
 	if began, _, _ := w.Seen("x"); began > 0 {
 		t.Error("what could not be used was sent")
@@ -342,6 +357,54 @@
 	}
 }
 
+// TestHostileClients: hundreds of silent connections, half commands, endless lines and huge values at once; each is
+// closed or told of its fault within 3 s, and usual clients are served beside them. Nothing of it is taken on.
+func TestHostileClients(t *testing.T) {
+	w, err := standin.Open(1, func(string) standin.Fate { return standin.Fate{Status: 200} })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer w.Close()
+	c := newCourier(t, w)
+	c.start()
+	half := enqueue("half", "update", 8000)
+	bad := []string{"", "*5\r\n$7\r\nENQ", half[:len(half)-3], strings.Repeat("y", 1<<20), "*1\r\n$60000000\r\n" + strings.Repeat("z", 60_000_000),
+		"*1\r\n$99999999999999999999\r\n", enqueue("none", "nobody", 8000) + "*\r\n", strings.Repeat(command("NONSENSE"), 500) + "\r\n"}
+	var all sync.WaitGroup
+	for i := range 300 {
+		text := bad[i%len(bad)]
+		if len(text) > 1e6 && i > 50 {
+			text = ""
+		}
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			began := time.Now()
+			c.raw(text)
+			if took := time.Since(began); took > 3*time.Second {
+				t.Errorf("%.40q: closed after %v", text, took)
+			}
+		}()
+	}
+	for i := range 20 {
+		id := fmt.Sprintf("usual-%d", i)
+		if got := c.ask(enqueue(id, "update", 8000)); got[0] != "+OK" {
+			t.Error(id, got)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	all.Wait()
+	for i := range 20 {
+		id := fmt.Sprintf("usual-%d", i)
+		waitFor(t, id, 5*time.Second, func() bool { _, done, _ := w.Seen(id); return done == 1 })
+	}
+	for _, id := range []string{"half", "none"} {
+		if began, _, notices := w.Seen(id); began > 0 || len(notices) > 0 {
+			t.Errorf("%s was taken on", id)
+		}
+	}
+}
+
 // TestStoodStill: a process that stood still takes its own delay for nobody's silence. The answers are there when it
 // goes on, so nothing goes twice though every limit has passed.
 func TestStoodStill(t *testing.T) {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -252,6 +252,7 @@
 			ep.route.rate = l.Rate
 		}
 	}
+	c.prune(idleAfter)
 }
 
 // admit ranks a new endpoint among those of its destination by rendezvous hashing, in an order of this
@@ -269,7 +270,6 @@
 		d.routes = append(d.routes, c.newRoute(d))
 	}
 	ep.route = d.routes[len(d.routes)-1]
-	c.prune(d, idleAfter)
 	c.endpoints[l.Endpoint] = ep
 	d.endpoints = append(d.endpoints, ep)
 	slices.SortFunc(d.endpoints, func(a, b *endpoint) int {
--- a/logic/scenario_test.go
+++ b/logic/scenario_test.go
@@ -15,7 +15,8 @@
 // TestScenarios plays testdata/*.txt; parts are set apart by lines or semicolons, # begins a comment. First what
 // the courier is handed, if not the usual: charter, workload, shape, party, with names and values. Then "at
 // SECONDS", the events of that instant (list, take, end, left), and what must have been done since the instant
-// before: want, none, most N, least N, with the beginning of an action. "answer ENDPOINT OUTCOME SPAN" lets an
+// before: want, none, most N, least N, with the beginning of an action, or what it holds now: records, keys, endpoints,
+// dests and their number. "answer ENDPOINT OUTCOME SPAN" lets an
 // endpoint answer by itself, "never" ends that. List entries are endpoint:dest:zone:shape:phase:rate; r1..r9
 // stands for nine records. Every action is held against the rules, asked or not.
 func TestScenarios(t *testing.T) {
@@ -234,6 +235,14 @@
 	case "left":
 		p.batch = append(p.batch, Left{RecordID(w[1])})
 		p.records[w[1]].ended = true
+	case "holds":
+		p.flush()
+		p.checks++
+		got := map[string]int{"records": len(p.courier.records), "keys": len(p.courier.keys),
+			"endpoints": len(p.courier.endpoints), "dests": len(p.courier.dests)}[w[1]]
+		if got != int(p.number(w[2])) {
+			p.fatal("holds %d %s, not %s", got, w[1], w[2])
+		}
 	case "want", "none", "most", "least":
 		p.flush()
 		p.check(w)
--- a/logic/state.go
+++ b/logic/state.go
@@ -28,14 +28,15 @@
 	flying    []*trip // without an outcome, oldest first
 	endpoints map[EndpointID]*endpoint
 	keys      map[Key]*keyLine
-	parties   []tally  // what each party may still send within its share
-	held      int      // records not ended
-	calls     int      // slots in use
-	took      tally    // answer times everywhere
-	lost      [2]tally // calls lost beside served ones, on connections used before and on new ones
-	crowd     []tally  // signs of full connection tables, by shape
-	lookAt    Micros   // when something held may next be done
-	wakeAt    Micros   // the earliest wake-up asked for
+	resting   []*keyLine // without records, and not to be forgotten yet
+	parties   []tally    // what each party may still send within its share
+	held      int        // records not ended
+	calls     int        // slots in use
+	took      tally      // answer times everywhere
+	lost      [2]tally   // calls lost beside served ones, on connections used before and on new ones
+	crowd     []tally    // signs of full connection tables, by shape
+	lookAt    Micros     // when something held may next be done
+	wakeAt    Micros     // the earliest wake-up asked for
 	askAt     Micros
 	closeAt   Micros // this process ends
 	topPayoff float64
@@ -236,10 +237,23 @@
 		r.line.leave(r)
 		if l := r.line; l != nil && len(l.records) == 0 && c.now >= l.restTo {
 			delete(c.keys, l.key)
+		} else if l != nil && len(l.records) == 0 {
+			c.resting = append(c.resting, l)
 		}
 	}
 }
 
+// wakeKeys forgets keys whose rest is over and that nothing waits for; keys are always new, so nothing else would.
+func (c *Courier) wakeKeys() {
+	c.resting = slices.DeleteFunc(c.resting, func(l *keyLine) bool {
+		over := c.now >= l.restTo
+		if over && len(l.records) == 0 && c.keys[l.key] == l {
+			delete(c.keys, l.key)
+		}
+		return over
+	})
+}
+
 // keyLine holds the records of one key in the order in which they were taken.
 type keyLine struct {
 	key     Key
@@ -249,6 +263,7 @@
 
 // join puts a record last in the line of its key.
 func (c *Courier) join(key Key, r *record) *keyLine {
+	c.wakeKeys()
 	l := c.keys[key]
 	if l == nil {
 		l = &keyLine{key: key}
@@ -266,8 +281,21 @@
 	}
 }
 
-// prune forgets what is gone from the list and has been idle for so long.
-func (c *Courier) prune(d *dest, idle Micros) {
+// prune forgets what is gone from the list and has been idle for so long, and destinations of which nothing is left.
+func (c *Courier) prune(idle Micros) {
+	for _, d := range c.dests {
+		c.pruneEndpoints(d, idle)
+		wanted := len(d.endpoints)+len(d.queue)+d.calls > 0
+		for _, rt := range d.routes {
+			wanted = wanted || c.now-rt.lastCall <= idle || c.now <= rt.waitTo
+		}
+		if !wanted {
+			delete(c.dests, d.id)
+		}
+	}
+}
+
+func (c *Courier) pruneEndpoints(d *dest, idle Micros) {
 	past := func(ep *endpoint) bool {
 		return ep.Phase == Gone && ep.calls == 0 && c.now-ep.route.lastCall > idle && c.now > ep.route.waitTo
 	}
--- a/protocol/calls.go
+++ b/protocol/calls.go
@@ -99,6 +99,7 @@
 	Dest   int     `json:"block"`
 	Health Health  `json:"health"`
 	Rate   float64 `json:"share"`
+	Born   int64   `json:"born_ms"` // when it last started, in Unix milliseconds; 0 for long ago
 }
 
 // List is discovery's list, or changes of it. Faults names the entries that were left out.
--- a/protocol/http.go
+++ b/protocol/http.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 )
@@ -14,6 +15,7 @@
 const (
 	BeforeLastByte Progress = iota // the other side cannot have begun it
 	AfterLastByte                  // it may have
+	InAnswer                       // it has, and what it answered can't be read
 )
 
 // Failure is an attempt without a whole answer.
@@ -23,10 +25,8 @@
 }
 
 func (f *Failure) Error() string {
-	if f.Progress == BeforeLastByte {
-		return "before the last byte was out: " + f.Err.Error()
-	}
-	return "after the last byte was out: " + f.Err.Error()
+	return map[Progress]string{BeforeLastByte: "before the last byte was out: ", AfterLastByte: "after the last byte was out: ",
+		InAnswer: "in the answer: "}[f.Progress] + f.Err.Error()
 }
 
 func (f *Failure) Unwrap() error { return f.Err }
@@ -82,24 +82,24 @@
 	return a.now.Status, true
 }
 
-// Feed takes what came in and returns the answers that are complete.
-func (a *Answers) Feed(b []byte) (answers []Answer, err error) {
+// Feed takes what came in and returns the answer that is complete, if one is. One request at a time goes over a
+// connection: what comes after its answer belongs to nothing, and would else pass for the answer to the next.
+func (a *Answers) Feed(b []byte) (answer Answer, done bool, err error) {
 	a.buf = append(a.buf, b...)
 	used := 0
-	for a.err == nil {
-		n, done := a.step(a.buf[used:])
-		used += n
-		if done {
-			answers = append(answers, a.now)
-			a.now, a.state, a.head = Answer{}, inStatus, 0
-		} else if n == 0 {
-			break
-		}
+	for n := -1; a.err == nil && n != 0 && !done; used += n {
+		n, done = a.step(a.buf[used:])
 	}
 	if a.buf = append(a.buf[:0], a.buf[used:]...); len(a.buf) == 0 && cap(a.buf) > maxHead {
 		a.buf = nil
 	}
-	return answers, a.err
+	if done {
+		if answer = a.now; len(a.buf) > 0 {
+			a.fail("%d bytes more than it", len(a.buf))
+		}
+		a.now, a.state, a.head = Answer{}, inStatus, 0
+	}
+	return answer, done, a.err
 }
 
 // End tells that the stream has ended; an answer without a told length ends with it.
@@ -141,6 +141,9 @@
 		}
 		return len(b), false
 	}
+	if a.state == inStatus && !begins(b, "HTTP/1.") {
+		return a.fail("no status line begins with %.20q", b)
+	}
 	end := bytes.IndexByte(b, '\n')
 	if end < 0 {
 		if a.head+len(b) > maxHead {
@@ -183,6 +186,13 @@
 	return used, false
 }
 
+// begins tells whether b, of which more may come, can still begin with text; an empty line before it does no harm.
+func begins(b []byte, text string) bool {
+	b = bytes.TrimPrefix(bytes.TrimPrefix(b, []byte{'\r'}), []byte{'\n'})
+	n := min(len(b), len(text))
+	return string(b[:n]) == text[:n]
+}
+
 func (a *Answers) status(line string) bool {
 	version, rest, _ := strings.Cut(line, " ")
 	code, _, _ := strings.Cut(rest, " ")
@@ -257,18 +267,16 @@
 	if report == "" || len(names) == 0 {
 		return nil
 	}
-	values := make([]float64, len(names))
-	found := 0
+	values, found := make([]float64, len(names)), make([]bool, len(names))
 	for _, part := range strings.Split(report, ",") {
 		name, text, _ := strings.Cut(strings.TrimSpace(part), "=")
 		for i, wanted := range names {
 			if value, err := strconv.ParseFloat(text, 64); name == wanted && err == nil && value >= 0 && value < 1e9 {
-				values[i] = value
-				found++
+				values[i], found[i] = value, true
 			}
 		}
 	}
-	if found < len(names) {
+	if slices.Contains(found, false) {
 		return nil
 	}
 	return values
--- a/protocol/protocol_test.go
+++ b/protocol/protocol_test.go
@@ -49,7 +49,8 @@
 		"PING\r\n": ErrFraming, "*1\n$4\r\n": ErrFraming, "*0\r\n": ErrFraming, "*-1\r\n": ErrFraming,
 		"*1\r\n:4\r\n": ErrFraming, "*1\r\n$x\r\n": ErrFraming, "*1\r\n$1\r\nab\r\n": ErrFraming, "*17\r\n": ErrOversize,
 		"*1\r\n$65537\r\n": ErrOversize, "*1\r\n$" + strings.Repeat("1", 40): ErrOversize,
-		"*2\r\n$65536\r\n" + strings.Repeat("x", 65536) + "\r\n$65536\r\n": ErrOversize,
+		"*1\r\n$60000000\r\n": ErrOversize, "*5\r\n$5000\r\n": ErrOversize, "*1\r\n$-1\r\n": ErrFraming,
+		strings.Repeat("*", 100): ErrOversize, "*" + strings.Repeat("1", 100): ErrOversize,
 	} {
 		var c Commands
 		if got, err := c.Feed([]byte(text)); !errors.Is(err, want) || len(got) > 0 {
@@ -61,6 +62,26 @@
 	}
 }
 
+// TestLongBodyOnlyForWhatCanBeUsed: a body is kept for a record that names all it needs, and for nothing else.
+func TestLongBodyOnlyForWhatCanBeUsed(t *testing.T) {
+	head := func(name, options string) []byte {
+		return fmt.Appendf(nil, "*5\r\n$7\r\n%s\r\n$1\r\n0\r\n$1\r\na\r\n$%d\r\n%s\r\n$60000\r\n", name, len(options), options)
+	}
+	for _, c := range []struct {
+		name, options string
+		ok            bool
+	}{{"ENQUEUE", "c=x,d=5,dest=1", true}, {"enqueue", "c=x,d=5,dest=1", true}, {"ENQUEUX", "c=x,d=5,dest=1", false},
+		{"ENQUEUE", "c=x,d=y,dest=1", false}, {"ENQUEUE", "c=x,d=5", false}} {
+		var p Commands
+		if _, err := p.Feed(head(c.name, c.options)); (err == nil) != c.ok {
+			t.Errorf("%s %s: %v", c.name, c.options, err)
+		}
+		if _, err := p.Feed(make([]byte, 100)); c.ok && (err != nil || p.Held() < 100) {
+			t.Errorf("%s %s: %v, held %d", c.name, c.options, err, p.Held())
+		}
+	}
+}
+
 func TestCommandsBeforeAFaultAreKept(t *testing.T) {
 	var c Commands
 	if got, err := c.Feed([]byte("*1\r\n$4\r\nPING\r\nrubbish\r\n")); len(got) != 1 || err == nil {
@@ -94,11 +115,13 @@
 		a := NewAnswers(64)
 		var all []Answer
 		for _, part := range parts {
-			got, err := a.Feed(part)
+			got, done, err := a.Feed(part)
 			if err != nil {
 				t.Fatal(err)
 			}
-			all = append(all, got...)
+			if done {
+				all = append(all, got)
+			}
 		}
 		if last, ok := a.End(); ok != end {
 			t.Fatalf("ended by the stream's end: %v", ok)
@@ -110,13 +133,16 @@
 }
 
 func TestAnswersInEverySplit(t *testing.T) {
-	text := "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Load-Report: x0=0.4,x1=25\r\n\r\nok" +
-		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 429 Too Many\r\nx-backoff-ms: 250.5\r\ncontent-length: 0\r\n\r\n" +
-		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;x=y\r\na\r\n\r\n1\r\nb\r\n0\r\nTrailer: 1\r\n\r\n" +
-		"HTTP/1.1 204 No Content\r\n\r\nHTTP/1.1 503 Full\r\nX-Egress-Full: 1\r\nConnection: close\r\nContent-Length: 1\r\n\r\nx"
-	want := []Answer{{Status: 200, Report: "x0=0.4,x1=25", Body: []byte("ok")}, {Status: 429, WaitMs: 251},
-		{Status: 200, Body: []byte("a\r\nb")}, {Status: 204}, {Status: 503, NoSlot: true, Close: true, Body: []byte("x")}}
-	everySplit(t, text, want, readAnswers(t, false))
+	for text, want := range map[string]Answer{
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Load-Report: x0=0.4,x1=25\r\n\r\nok": {Status: 200, Report: "x0=0.4,x1=25", Body: []byte("ok")},
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\nLink: x\r\n\r\n\r\nHTTP/1.1 429 Too Many\r\nx-backoff-ms: 250.5\r\n" +
+			"content-length: 0\r\n\r\n": {Status: 429, WaitMs: 251},
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;x=y\r\na\r\n\r\n1\r\nb\r\n0\r\nTrailer: 1\r\n\r\n": {Status: 200, Body: []byte("a\r\nb")},
+		"HTTP/1.1 204 No Content\r\n\r\n": {Status: 204},
+		"HTTP/1.1 503 Full\r\nX-Egress-Full: 1\r\nConnection: close\r\nContent-Length: 1\r\n\r\nx": {Status: 503, NoSlot: true, Close: true, Body: []byte("x")},
+	} {
+		everySplit(t, text, []Answer{want}, readAnswers(t, false))
+	}
 	everySplit(t, "HTTP/1.0 500 No\n\nbody", []Answer{{Status: 500, Close: true, Body: []byte("body")}}, readAnswers(t, true))
 }
 
@@ -127,10 +153,10 @@
 		ok + "Content-Length: 1\r\nContent-Length: 2\r\n", ok + "Transfer-Encoding: gzip\r\n",
 		ok + "Transfer-Encoding: chunked\r\n\r\nzz\r\n", ok + "Transfer-Encoding: chunked\r\n\r\n41\r\n",
 		ok + "Transfer-Encoding: chunked\r\n\r\n1\r\nabc", ok + "Transfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\n",
-		strings.Repeat("x", maxHead+1), ok + strings.Repeat("A: b\r\n", maxHead/6), ok + "\r\n" + strings.Repeat("x", 65)} {
+		strings.Repeat("x", maxHead+1), ok + strings.Repeat("A: b\r\n", maxHead/6), ok + "\r\n" + strings.Repeat("x", 65), "HTTP/1.1 100 Go\r\n\r\nnoise", "\r\nHTTP/2", "\x00", "noise without an end of line",
+		"HTTP/1.1 429 Full\r\nContent-Length: 3000000000\r\n\r\n"} {
 		a := NewAnswers(64)
-		got, err := a.Feed([]byte(text))
-		if !errors.Is(err, ErrAnswer) || len(got) > 0 {
+		if got, done, err := a.Feed([]byte(text)); !errors.Is(err, ErrAnswer) || done {
 			t.Errorf("%.60q: %+v %v", text, got, err)
 		}
 		if _, ended := a.End(); ended {
@@ -139,6 +165,22 @@
 	}
 }
 
+// TestMoreThanOneAnswer: a second copy or noise leaves the answer true and ends the stream, where it would else begin
+// the next one.
+func TestMoreThanOneAnswer(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+	for _, more := range []string{ok, "noise", "\r\n", "\x00"} {
+		a := NewAnswers(64)
+		got, done, err := a.Feed([]byte(ok + more))
+		if got.Status != 200 || !done || !errors.Is(err, ErrAnswer) {
+			t.Errorf("%q: %+v %v %v", more, got, done, err)
+		}
+		if got, done, err := a.Feed([]byte(ok)); done || err == nil {
+			t.Errorf("after %q: %+v %v", more, got, err)
+		}
+	}
+}
+
 func TestAnswerCutShort(t *testing.T) {
 	a := NewAnswers(64)
 	a.Feed([]byte("HTTP/1.1 200 OK\r\nContent-Le"))
@@ -191,7 +233,7 @@
 	if got := Pressure("x1=25, zz=1,x0=0.4", names); !reflect.DeepEqual(got, []float64{0.4, 25}) {
 		t.Errorf("%v", got)
 	}
-	for _, bad := range []string{"", "x0=1", "x0=a,x1=1", "x0=NaN,x1=1", "x0=-1,x1=1"} {
+	for _, bad := range []string{"", "x0=1", "x0=a,x1=1", "x0=NaN,x1=1", "x0=1,x0=1", "x0=-1,x1=1"} {
 		if got := Pressure(bad, names); got != nil {
 			t.Errorf("%q read as %v", bad, got)
 		}
@@ -202,11 +244,10 @@
 	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n"))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		whole, split := NewAnswers(64), NewAnswers(64)
-		want, _ := whole.Feed(b)
-		var got []Answer
-		for i := range b {
-			some, _ := split.Feed(b[i : i+1])
-			got = append(got, some...)
+		want, _, _ := whole.Feed(b)
+		var got Answer
+		for i, done := 0, false; i < len(b) && !done; i++ {
+			got, done, _ = split.Feed(b[i : i+1])
 		}
 		if !reflect.DeepEqual(got, want) {
 			t.Fatalf("%+v in one, %+v byte by byte", want, got)
--- a/protocol/resp.go
+++ b/protocol/resp.go
@@ -43,7 +43,7 @@
 		used += n
 		if done {
 			commands = append(commands, c.args)
-			c.args = nil
+			c.args, c.held = nil, 0
 		} else if n == 0 {
 			break
 		}
@@ -55,6 +55,9 @@
 	return commands, c.err
 }
 
+// Held is how many bytes are kept of a command that is not whole.
+func (c *Commands) Held() int { return len(c.buf) + c.held }
+
 // Between tells whether the stream stands between two commands.
 func (c *Commands) Between() bool { return c.left == 0 && len(c.buf) == 0 }
 
@@ -69,6 +72,7 @@
 			return 0, false
 		}
 		c.args = append(c.args, bytes.Clone(b[:c.size]))
+		c.held += c.size
 		used, c.size = c.size+2, -1
 		c.left--
 		return used, c.left == 0
@@ -102,14 +106,32 @@
 	case mark == '*':
 		c.left, c.size, c.held = n, -1, 0
 	default:
-		if c.size, c.held = n, c.held+n; c.held > MaxBody+maxCommand {
-			c.err = ErrOversize
+		if c.err = c.check(n); c.err != nil {
 			return 0, false
 		}
+		c.size = n
 	}
 	return end + 1, false
 }
 
+// check judges a bulk string by its length before any of it is kept. Only a record's body may be long, and only where
+// all that comes before it can be used.
+func (c *Commands) check(n int) error {
+	switch {
+	case c.held+n <= maxCommand:
+		return nil
+	case c.left > 1 || !IsCommand(c.args, "ENQUEUE"):
+		return ErrOversize
+	}
+	_, err := ReadEnqueue(append(c.args[:len(c.args):len(c.args)], nil))
+	return err
+}
+
+// IsCommand compares a command's name, in any case.
+func IsCommand(args [][]byte, name string) bool {
+	return len(args) > 0 && bytes.EqualFold(args[0], []byte(name))
+}
+
 // digits reads a plain decimal number.
 func digits(b []byte) (int, bool) {
 	if len(b) == 0 || len(b) > 9 {
--- a/routing/calls.go
+++ b/routing/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"maps"
 	"strconv"
 
 	"pineport/logic"
@@ -78,7 +79,8 @@
 		limit = max(limit, t.limit)
 	}
 	bytes := protocol.Call(c.host.Dial, int64((limit-r.now)/1000), items)
-	c.exchange = &exchange{addr: c.host.Dial, bytes: bytes, whole: len(items) > 1,
+	c.exchange = &exchange{peer: peerOf(c.host), bytes: bytes, whole: len(items) > 1,
+		begun: func() { r.begun(c) },
 		still: func() bool {
 			return r.hosts[c.endpoint].Health == protocol.InService && r.waits[r.route(c.host)] <= r.now
 		},
@@ -86,6 +88,21 @@
 	r.links.start(c.exchange)
 }
 
+func peerOf(h protocol.Host) peer { return peer{host: h.Host, addr: h.Dial, born: h.Born} }
+
+// restSlack is how long the rest of an answer may take once its first bytes are here: it is written at once, and the
+// longest way that a deployment tells of is a fifth of a second. A head or body without an end would else hold its slot,
+// and what it answered for, until nobody waits any more.
+const restSlack = 500 * 1000
+
+// begun shortens the waiting for an answer of which a part has come.
+func (r *Router) begun(c *call) {
+	c.exchange.cut = true
+	for _, t := range c.trips {
+		t.limit = min(t.limit, r.now+restSlack)
+	}
+}
+
 // answered turns the end of a call into the outcomes of its trips.
 func (r *Router) answered(c *call, a protocol.Answer, err error) {
 	if errors.Is(err, errOvertaken) {
@@ -96,10 +113,8 @@
 	}
 	var failure *protocol.Failure
 	if errors.As(err, &failure) {
-		outcome := logic.Broken
-		if failure.Progress == protocol.BeforeLastByte {
-			outcome = logic.Unreachable
-		}
+		outcome := map[protocol.Progress]logic.Outcome{protocol.BeforeLastByte: logic.Unreachable,
+			protocol.AfterLastByte: logic.Broken, protocol.InAnswer: logic.Failure}[failure.Progress]
 		for _, t := range c.trips {
 			r.settle(t, logic.Settled{Outcome: outcome})
 		}
@@ -110,6 +125,7 @@
 		ends = protocol.ReadEnds(a.Body)
 	}
 	if a.WaitMs > 0 {
+		maps.DeleteFunc(r.waits, func(_ string, until logic.Micros) bool { return until <= r.now })
 		r.waits[r.route(c.host)] = r.now + logic.Micros(a.WaitMs)*1000
 	}
 	pressure := protocol.Pressure(a.Report, r.dep.Report)
@@ -195,10 +211,13 @@
 // overdue ends a trip that was waited for long enough.
 func (r *Router) overdue(t *trip) {
 	s := logic.Settled{Outcome: logic.TimedOut}
-	if x := t.call.exchange; !r.links.out(x) {
+	switch x := t.call.exchange; {
+	case !r.links.out(x):
 		s.Outcome = logic.Unreachable
-	} else if !x.whole && x.link.first.Load() == 200 {
+	case !x.whole && x.link.first.Load() == 200:
 		s.Outcome, s.Over = logic.Done, true // the rest of the answer is slow, but this was its first line
+	case x.cut:
+		s.Outcome = logic.Failure // it answers, but nothing that can be read
 	}
 	r.settle(t, s)
 	r.drop(t.call)
--- a/routing/clients.go
+++ b/routing/clients.go
@@ -17,10 +17,15 @@
 type client struct {
 	router *Router
 	parser protocol.Commands
-	broken bool // the stream can't be read on
+	broken bool  // the stream can't be read on
+	sunk   int   // bytes since then
+	held   int64 // bytes of a command that is not whole
 	conn   *transport.Conn
+	came   logic.Micros
 	heard  logic.Micros
 	asked  atomic.Int64 // commands without a reply
+	whole  atomic.Bool  // a command has come
+	half   atomic.Int64 // when the command that is not whole began; 0 between two
 }
 
 const maxUnread = 64 << 10 // thousands of replies
@@ -40,20 +45,58 @@
 }
 
 func (c *client) Data(_ *transport.Conn, b []byte) {
-	if c.broken {
+	if c.broken { // goes on after a fault: reading it all would cost those who can be served
+		if c.sunk += len(b); c.sunk > maxUnread && c.asked.Load() == 0 {
+			c.conn.Close()
+		}
 		return
 	}
-	if all, err := c.parser.Feed(b); len(all) > 0 || err != nil {
-		c.broken = err != nil
+	all, err := c.parser.Feed(b)
+	if held := int64(c.parser.Held()); err == nil {
+		if sum := c.router.clients.bytes.Add(held - c.held); sum > c.router.clients.room && held > fewBytes {
+			err = errNoRoom
+		}
+		c.held = held
+	}
+	if c.parser.Between() {
+		c.half.Store(0)
+	} else if len(all) > 0 || c.half.Load() == 0 {
+		c.half.Store(int64(c.router.clock()))
+	}
+	if c.broken = err != nil; c.broken {
+		c.release()
+	}
+	if len(all) > 0 || err != nil {
+		c.whole.Store(true)
 		c.asked.Add(int64(len(all)))
+		if err != nil {
+			c.asked.Add(1)
+		}
 		c.router.inbox <- commands{c, all, err}
 	}
 }
 
-func (c *client) Closed(*transport.Conn, error) { c.router.inbox <- clientGone{c} }
+// release gives back what was kept of a command that will never be whole.
+func (c *client) release() {
+	c.router.clients.bytes.Add(-c.held)
+	c.held, c.parser = 0, protocol.Commands{}
+}
+
+func (c *client) Closed(*transport.Conn, error) {
+	c.release()
+	c.router.clients.up.Add(-1)
+	c.router.inbox <- clientGone{c}
+}
+
+// fewBytes of a command that is not whole are kept for anybody; nearly all commands are shorter.
+const fewBytes = 4 << 10
+
+var errNoRoom = errors.New("ERR no room for so long a command now")
 
 // rests tells whether nothing of a request has been read that has no reply yet.
-func (c *client) rests() bool { return c.asked.Load() == 0 && c.parser.Between() }
+func (c *client) rests() bool {
+	return c.asked.Load() == 0 && c.parser.Between() && c.conn.Flushed()
+}
 
 func (c *client) write(r *reply) {
 	c.asked.Add(-1)
@@ -68,44 +111,98 @@
 
 // clients are those connected now.
 type clients struct {
-	r    *Router
-	all  map[*client]bool
-	most int
+	r       *Router
+	all     map[*client]bool
+	most    int
+	hard    int64
+	up      atomic.Int64 // connections, those that the router has not heard of yet too
+	bytes   atomic.Int64 // held of commands that are not whole, by all together
+	room    int64        // for those
+	sweepAt logic.Micros
 }
 
 func (cs *clients) init(r *Router) {
-	// Four tenths of the descriptors, so that endpoints and the platform always find some.
-	cs.r, cs.all, cs.most = r, map[*client]bool{}, r.dep.Sockets*4/10
+	// Four tenths of the descriptors, and half of them while many come at once, so that endpoints and the platform
+	// always find some. An eighth of the memory goes to commands that are not whole.
+	cs.r, cs.all, cs.most, cs.hard = r, map[*client]bool{}, r.dep.Sockets*4/10, int64(r.dep.Sockets/2)
+	cs.room, cs.sweepAt = int64(r.dep.MemoryMB)<<20/8, never
 }
 
-func (cs *clients) accept() transport.Handler { return &client{router: cs.r} }
+func (cs *clients) admit() bool { return cs.up.Load() < cs.hard }
 
-// stuckAfter is many times what a client waits for its reply.
-const stuckAfter = 5 * 1000 * 1000
+func (cs *clients) accept() transport.Handler {
+	cs.up.Add(1)
+	return &client{router: cs.r}
+}
+
+const (
+	sweepEvery = 250 * 1000
+	// A connection that has brought nothing, or half a command, for so long is many times later than a client waits.
+	stuckAfter = 2000 * 1000
+	restAfter  = 5 * 1000 * 1000 // between two requests; who comes back later connects anew
+	newcomer   = 250 * 1000      // so long a connection is taken for one whose first request is on its way
+)
 
-// add makes room by closing the connection that has rested longest between two requests.
 func (cs *clients) add(c *client) {
-	c.heard = cs.r.now
+	c.came, c.heard = cs.r.now, cs.r.now
 	cs.all[c] = true
-	if len(cs.all) <= cs.most {
-		return
+	cs.sweepAt = min(cs.sweepAt, cs.r.now+sweepEvery)
+	if len(cs.all) > cs.most {
+		cs.makeRoom(c)
+	}
+}
+
+// makeRoom closes the connection that is missed least: one that has said nothing yet, but for those that came just
+// now, then the one that has rested longest between two requests.
+func (cs *clients) makeRoom(latest *client) {
+	now := cs.r.now
+	rank := func(c *client) logic.Micros {
+		switch {
+		case c.whole.Load():
+			return c.heard
+		case now-c.came > newcomer:
+			return c.came - stuckAfter
+		}
+		return c.came + stuckAfter
 	}
 	oldest := make([]*client, 0, len(cs.all))
 	for o := range cs.all {
-		if o != c && o.asked.Load() == 0 {
+		if o != latest && o.asked.Load() == 0 {
 			oldest = append(oldest, o)
 		}
 	}
-	slices.SortFunc(oldest, func(a, b *client) int { return cmp.Compare(a.heard, b.heard) })
-	for _, o := range append(oldest, c) {
-		stuck := cs.r.now-o.heard > stuckAfter // in the middle of a command that does not go on
-		if o.conn.CloseIf(func() bool { return o.rests() || stuck && o.asked.Load() == 0 }) {
+	slices.SortFunc(oldest, func(a, b *client) int { return cmp.Compare(rank(a), rank(b)) })
+	for _, o := range append(oldest, latest) {
+		if o.conn.CloseIf(func() bool { return o.rests() || cs.stuck(o) }) {
 			delete(cs.all, o)
 			return
 		}
 	}
 }
 
+// stuck tells whether a command does not go on.
+func (cs *clients) stuck(c *client) bool {
+	half := logic.Micros(c.half.Load())
+	return half > 0 && cs.r.now-half > stuckAfter && c.asked.Load() == 0
+}
+
+func (cs *clients) due() logic.Micros { return cs.sweepAt }
+
+// sweep closes connections on which nothing comes.
+func (cs *clients) sweep() {
+	if cs.r.now < cs.sweepAt {
+		return
+	}
+	cs.sweepAt = never
+	for c := range cs.all {
+		cs.sweepAt = cs.r.now + sweepEvery
+		silent := !c.whole.Load() && cs.r.now-c.came > stuckAfter
+		if rested := cs.r.now-c.heard > restAfter; silent || rested || cs.stuck(c) {
+			c.conn.CloseIf(func() bool { return (silent || rested) && c.rests() || cs.stuck(c) })
+		}
+	}
+}
+
 // gone: what such a client handed in and was not told of is nobody's; it hands it in anew.
 func (cs *clients) gone(e clientGone) {
 	delete(cs.all, e.from)
@@ -133,45 +230,44 @@
 		cs.command(args, reply)
 	}
 	if e.err != nil {
-		e.from.asked.Add(1)
+		cs.strange(e.err)
 		cs.r.replies = append(cs.r.replies, &reply{client: e.from, text: protocol.ReplyError(e.err.Error()), close: true})
 	}
 }
 
 func (cs *clients) command(args [][]byte, reply *reply) {
 	switch {
-	case is(args[0], "PING") && len(args) == 1:
+	case protocol.IsCommand(args, "PING") && len(args) == 1:
 		reply.text = protocol.ReplyPong
-	case is(args[0], "PING"):
+	case protocol.IsCommand(args, "PING"):
 		reply.text = protocol.ReplyError("ERR wrong number of arguments for 'ping'")
-	case is(args[0], "ENQUEUE"):
+	case protocol.IsCommand(args, "ENQUEUE"):
 		cs.enqueue(args, reply)
 	default:
-		reply.text = protocol.ReplyError("ERR unknown command")
+		cs.strange(errCommand)
+		reply.text = protocol.ReplyError(errCommand.Error())
 	}
 }
 
-// is compares a command's name, in any case.
-func is(b []byte, name string) bool {
-	if len(b) != len(name) {
-		return false
-	}
-	for i := range b {
-		if b[i]&^0x20 != name[i] {
-			return false
-		}
-	}
-	return true
+var errCommand = errors.New("ERR unknown command")
+
+func (cs *clients) strange(fault error) {
+	cs.r.strange.clients, cs.r.strange.client = cs.r.strange.clients+1, fault
 }
 
 // enqueue puts a record into the spool and hands it to the decisions; the reply is written after those.
 func (cs *clients) enqueue(args [][]byte, rep *reply) {
 	r := cs.r
 	e, err := protocol.ReadEnqueue(args)
-	if err == nil && index(r.dep.Workloads, e.Workload) < 0 {
+	switch {
+	case err != nil:
+	case index(r.dep.Workloads, e.Workload) < 0:
 		err = errors.New("ERR unknown workload")
+	case !r.knows(e.Dest):
+		err = errors.New("ERR unknown destination")
 	}
 	if err != nil {
+		cs.strange(err)
 		rep.text = protocol.ReplyError(err.Error())
 		return
 	}
--- a/routing/links.go
+++ b/routing/links.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"sync/atomic"
 
 	"pineport/logic"
@@ -11,23 +12,35 @@
 
 // exchange is one request and its answer. end is called once, unless it is given up.
 type exchange struct {
-	addr  string
+	peer  peer
 	bytes []byte
 	whole bool // the body is needed, not just the first line
 	link  *link
 	sent  bool
 	over  bool
+	cut   bool        // part of an answer is here
 	still func() bool // asked once more when a new connection is up; nil for always
+	begun func()      // told when an answer has begun and the rest of it has not come yet; may be nil
 	end   func(protocol.Answer, error)
 }
 
+// peer is who a connection leads to. An address alone is nobody: another endpoint may have taken it over, or the same
+// one may have started again.
+type peer struct {
+	host string // empty for the platform
+	addr string
+	born int64
+}
+
 // link is one connection to an endpoint or the platform; one exchange at a time goes over it.
 type link struct {
 	router *Router
-	addr   string
+	peer   peer
 	conn   *transport.Conn
 	parser *protocol.Answers
 	turn   atomic.Int64 // how many requests were written
+	had    int64        // the turn whose answer was complete; the poller's own, as the parser
+	told   int64        // the turn of which the router knows that its answer has begun
 	x      *exchange
 	idle   logic.Micros // since when
 	first  atomic.Int64 // status of an answer that has begun and is not complete
@@ -40,6 +53,10 @@
 		turn int64
 		a    protocol.Answer
 	}
+	linkBegun struct {
+		on   *link
+		turn int64
+	}
 	linkDown struct {
 		on      *link
 		turn    int64
@@ -53,11 +70,21 @@
 
 func (l *link) Data(conn *transport.Conn, b []byte) {
 	turn := l.turn.Load()
-	answers, err := l.parser.Feed(b)
+	if l.had == turn {
+		l.lost(conn, errUnasked)
+		conn.Close()
+		return
+	}
+	a, done, err := l.parser.Feed(b)
 	status, _ := l.parser.Begun()
 	l.first.Store(int64(status))
-	for _, a := range answers {
+	if done {
+		l.had = turn
+		a.Close = a.Close || err != nil
 		l.router.inbox <- linkAnswer{l, turn, a}
+	} else if status >= 200 && err == nil && l.told != turn {
+		l.told = turn
+		l.router.inbox <- linkBegun{l, turn}
 	}
 	if err != nil {
 		l.lost(conn, err)
@@ -65,6 +92,10 @@
 	}
 }
 
+// errUnasked: what comes over a connection where nothing is waited for belongs to nothing, and what comes next
+// could not be told from it.
+var errUnasked = errors.New("an answer nobody asked for")
+
 func (l *link) Closed(conn *transport.Conn, err error) {
 	if a, ok := l.parser.End(); ok {
 		l.router.inbox <- linkAnswer{l, l.turn.Load(), a}
@@ -83,14 +114,14 @@
 // links are the connections this courier opened.
 type links struct {
 	r    *Router
-	idle map[string][]*link // by address, the longest idle first
+	idle map[peer][]*link // the longest idle first
 	all  map[*link]bool
 	most int
 	rest logic.Micros // how long an idle connection is kept
 }
 
 func (ls *links) init(r *Router) {
-	ls.r, ls.idle, ls.all = r, map[string][]*link{}, map[*link]bool{}
+	ls.r, ls.idle, ls.all = r, map[peer][]*link{}, map[*link]bool{}
 	ls.most = r.dep.Sockets * 4 / 10
 	// The other side closes at the latest after the whole of it, counted from when it wrote its answer, and a
 	// request that comes later is lost: the longest way there and back that is told of is under 300 ms.
@@ -100,28 +131,32 @@
 
 // start sends an exchange over an idle connection, or a new one.
 func (ls *links) start(x *exchange) {
-	for pool := ls.idle[x.addr]; len(pool) > 0; pool = ls.idle[x.addr] {
+	for pool := ls.idle[x.peer]; len(pool) > 0; pool = ls.idle[x.peer] {
 		l := pool[len(pool)-1]
-		ls.idle[x.addr] = pool[:len(pool)-1]
+		ls.idle[x.peer] = pool[:len(pool)-1]
 		if ls.all[l] && ls.r.now-l.idle < ls.rest {
 			ls.write(l, x)
 			return
 		}
 		ls.close(l)
 	}
-	if !ls.makeRoom() && x.addr != ls.r.dep.Discovery {
+	if !ls.makeRoom() && x.peer.host != "" {
 		x.over = true
 		x.end(protocol.Answer{}, &protocol.Failure{Progress: protocol.BeforeLastByte, Err: errors.New("no descriptor left")})
 		return
 	}
-	l := &link{router: ls.r, addr: x.addr, parser: protocol.NewAnswers(maxAnswer), x: x}
+	limit := protocol.MaxBody
+	if x.peer.host == "" {
+		limit = maxList
+	}
+	l := &link{router: ls.r, peer: x.peer, parser: protocol.NewAnswers(limit), x: x}
 	ls.all[l] = true
 	x.link = l
-	l.conn = ls.r.driver.Dial(x.addr, ls.r.dep.ConnectTimeout, l)
+	l.conn = ls.r.driver.Dial(x.peer.addr, ls.r.dep.ConnectTimeout, l)
 }
 
-// maxAnswer bounds what is read of an answer: discovery's list is the longest.
-const maxAnswer = 1 << 20
+// maxList bounds what is read of discovery's list, the longest answer there is.
+const maxList = 1 << 20
 
 func (ls *links) write(l *link, x *exchange) {
 	l.x, x.link, x.sent = x, l, true
@@ -172,14 +207,13 @@
 
 func (ls *links) rests(l *link) {
 	l.idle = ls.r.now
-	ls.idle[l.addr] = append(ls.idle[l.addr], l)
+	ls.idle[l.peer] = append(ls.idle[l.peer], l)
 }
 
 func (ls *links) answered(e linkAnswer) {
 	l, x := e.on, e.on.x
 	if x == nil || x.over || e.turn != l.turn.Load() || !x.sent {
-		ls.unasked(l)
-		return
+		return // given up meanwhile, and its connection with it
 	}
 	l.x, x.over = nil, true
 	if e.a.Close || !l.conn.Flushed() || !ls.all[l] {
@@ -190,16 +224,18 @@
 	x.end(e.a, nil)
 }
 
-// unasked: an answer that nobody asked for; what else comes over that connection can't be trusted.
-func (ls *links) unasked(l *link) {
-	if ls.all[l] {
-		ls.down(linkDown{on: l, turn: l.turn.Load(), flushed: l.conn.Flushed(), err: errors.New("an answer nobody asked for")})
-		l.conn.Close()
+// begun: the rest of an answer follows at once, or never.
+func (ls *links) begun(e linkBegun) {
+	if x := e.on.x; x != nil && !x.over && e.turn == e.on.turn.Load() && x.begun != nil {
+		x.begun()
 	}
 }
 
 func (ls *links) down(e linkDown) {
 	l, x := e.on, e.on.x
+	if errors.Is(e.err, protocol.ErrAnswer) || errors.Is(e.err, errUnasked) {
+		ls.r.strange.answers, ls.r.strange.answer = ls.r.strange.answers+1, fmt.Errorf("%s %s: %w", l.peer.host, l.peer.addr, e.err)
+	}
 	if !ls.all[l] {
 		return
 	}
@@ -213,7 +249,11 @@
 		return
 	}
 	progress := protocol.BeforeLastByte
-	if x.sent && e.flushed {
+	switch {
+	case !x.sent || !e.flushed:
+	case errors.Is(e.err, protocol.ErrAnswer):
+		progress = protocol.InAnswer
+	default:
 		progress = protocol.AfterLastByte
 	}
 	x.end(protocol.Answer{}, &protocol.Failure{Progress: progress, Err: e.err})
@@ -238,11 +278,11 @@
 	return oldest != nil
 }
 
-func (ls *links) closeIdle(addr string) {
-	for _, l := range ls.idle[addr] {
+func (ls *links) closeIdle(to peer) {
+	for _, l := range ls.idle[to] {
 		ls.close(l)
 	}
-	delete(ls.idle, addr)
+	delete(ls.idle, to)
 }
 
 // due is when the next idle connection has been kept long enough.
@@ -258,14 +298,14 @@
 
 // expire closes what has been idle for long enough, well before the other side does.
 func (ls *links) expire() {
-	for addr, pool := range ls.idle {
+	for to, pool := range ls.idle {
 		n := 0
 		for n < len(pool) && (!ls.all[pool[n]] || ls.r.now-pool[n].idle >= ls.rest) {
 			ls.close(pool[n])
 			n++
 		}
-		if ls.idle[addr] = pool[n:]; n == len(pool) {
-			delete(ls.idle, addr)
+		if ls.idle[to] = pool[n:]; n == len(pool) {
+			delete(ls.idle, to)
 		}
 	}
 }
--- a/routing/platform.go
+++ b/routing/platform.go
@@ -68,7 +68,7 @@
 	if p.watching != nil {
 		return
 	}
-	x := &exchange{addr: p.r.dep.Discovery, whole: true,
+	x := &exchange{peer: peer{addr: p.r.dep.Discovery}, whole: true,
 		bytes: protocol.Watch(p.r.dep.Discovery, p.seq, watchWait/1000), end: p.watched}
 	p.askedAt = p.r.now
 	p.watching, p.watchBy = x, p.r.now+watchWait+watchSlack
@@ -120,7 +120,7 @@
 	for _, o := range p.owed {
 		o.next, o.tries = p.r.now, 0
 	}
-	p.r.links.closeIdle(old)
+	p.r.links.closeIdle(peer{addr: old})
 	p.watch()
 }
 
@@ -182,7 +182,7 @@
 	if len(notices) == 0 {
 		return false
 	}
-	t.x = &exchange{addr: p.r.dep.Discovery, bytes: protocol.Notices(p.r.dep.Discovery, notices),
+	t.x = &exchange{peer: peer{addr: p.r.dep.Discovery}, bytes: protocol.Notices(p.r.dep.Discovery, notices),
 		end: func(a protocol.Answer, err error) { p.told(t, a, err) }}
 	p.calls = append(p.calls, t)
 	p.r.links.start(t.x)
--- a/routing/router.go
+++ b/routing/router.go
@@ -77,10 +77,12 @@
 	records  map[logic.RecordID]*record
 	flying   []*trip // oldest first
 	hosts    map[logic.EndpointID]protocol.Host
+	dests    map[int]logic.Micros    // those that lists name, and until when
 	waits    map[string]logic.Micros // told by a route, until when; the decisions keep their own
 	links    links
 	clients  clients
 	platform platform
+	strange  strange
 	endBy    logic.Micros
 	leaving  bool
 	partAt   logic.Micros // from here on clients' connections are closed between requests
@@ -90,7 +92,7 @@
 func New(dep *config.Deployment, sp *spool.Spool, unfinished []*spool.Record, log *slog.Logger) (*Router, error) {
 	r := &Router{dep: dep, log: log, spool: sp, inbox: make(chan any, inboxSize),
 		base: time.Now(), wakeAt: never, endBy: never, partAt: never, records: map[logic.RecordID]*record{},
-		hosts: map[logic.EndpointID]protocol.Host{}, waits: map[string]logic.Micros{}}
+		hosts: map[logic.EndpointID]protocol.Host{}, waits: map[string]logic.Micros{}, dests: map[int]logic.Micros{}}
 	r.baseUnix = logic.Micros(r.base.UnixMicro())
 	r.now = r.baseUnix
 	r.begin = func() decider { return logic.New(dep.Charter) }
@@ -111,7 +113,7 @@
 // Run listens and works until stop is closed; then it goes on for as long as grace allows. What comes in over reloads
 // is taken over as far as a process that runs can.
 func (r *Router) Run(stop <-chan struct{}, reloads <-chan *config.Deployment, grace time.Duration) error {
-	driver, err := transport.Open(r.dep.Listen, r.dep.Sockets, r.log, r.clients.accept)
+	driver, err := transport.Open(r.dep.Listen, r.dep.Sockets, r.log, r.clients.admit, r.clients.accept)
 	if err != nil {
 		return err
 	}
@@ -222,6 +224,8 @@
 		r.reload(e)
 	case linkUp:
 		r.links.up(e)
+	case linkBegun:
+		r.links.begun(e)
 	case linkAnswer:
 		r.links.answered(e)
 	case linkDown:
@@ -244,7 +248,7 @@
 
 // due is when something is to be done next, unasked.
 func (r *Router) due() logic.Micros {
-	at := min(r.wakeAt, r.links.due(), r.platform.due(), r.endBy, r.partAt)
+	at := min(r.wakeAt, r.links.due(), r.clients.due(), r.platform.due(), r.endBy, r.partAt)
 	for _, t := range r.flying {
 		at = min(at, t.limit)
 	}
@@ -266,6 +270,8 @@
 func (r *Router) turn() {
 	r.now = r.clock()
 	r.links.expire()
+	r.clients.sweep()
+	r.strange.tell(r.log, r.now)
 	r.platform.tick()
 	for _, t := range append([]*trip(nil), r.flying...) {
 		if !t.over && t.limit <= r.now {
@@ -285,6 +291,29 @@
 	r.platform.tick()
 }
 
+// strange is what came in that could not be used, since it was last logged: one line for all of it, as it may come at
+// full speed.
+type strange struct {
+	clients, answers int
+	client, answer   error // the last
+	next             logic.Micros
+}
+
+const tellStrange = 10 * 1000 * 1000
+
+func (s *strange) tell(log *slog.Logger, now logic.Micros) {
+	if now < s.next || s.clients+s.answers == 0 {
+		return
+	}
+	if s.clients > 0 {
+		log.Warn("clients turned away", "count", s.clients, "last", s.client)
+	}
+	if s.answers > 0 {
+		log.Warn("answers spoilt", "count", s.answers, "last", s.answer)
+	}
+	*s = strange{next: now + tellStrange}
+}
+
 // reply writes what clients wait for; from then on the platform is told how a record ends.
 func (r *Router) reply() {
 	for _, reply := range r.replies {
@@ -358,7 +387,7 @@
 		case logic.Wake:
 			r.wakeAt = min(r.wakeAt, a.At)
 		case logic.CloseIdle:
-			r.links.closeIdle(r.hosts[a.Endpoint].Dial)
+			r.links.closeIdle(peerOf(r.hosts[a.Endpoint]))
 		case logic.Watch:
 			r.platform.watch()
 		case logic.Note:
@@ -482,7 +511,7 @@
 	for _, fault := range l.Faults {
 		r.log.Warn("entry of the list left out", "fault", fault)
 	}
-	news := logic.ListNews{How: how}
+	news, before := logic.ListNews{How: how}, maps.Clone(r.hosts)
 	if how != logic.Partial {
 		clear(r.hosts)
 	}
@@ -500,6 +529,31 @@
 		news.Entries = append(news.Entries, listing)
 	}
 	r.events = append(r.events, news)
+	for id, h := range before {
+		if now := r.hosts[id]; now.Health != protocol.InService || peerOf(now) != peerOf(h) {
+			r.links.closeIdle(peerOf(h)) // nothing new goes there, or what they lead to is not there any more
+		}
+	}
+	for dest, until := range r.dests {
+		if until == never {
+			r.dests[dest] = r.now + unlisted
+		} else if until <= r.now {
+			delete(r.dests, dest)
+		}
+	}
+	for _, h := range r.hosts {
+		r.dests[h.Dest] = never
+	}
+}
+
+// unlisted is how long a destination without any endpoint on the list is still known: many times what replacing its
+// endpoints takes.
+const unlisted = 600 * 1000 * 1000
+
+// knows tells whether there is such a destination; without any list nobody can say.
+func (r *Router) knows(dest int) bool {
+	until, ok := r.dests[dest]
+	return ok && until > r.now || len(r.dests) == 0
 }
 
 func (r *Router) listing(h protocol.Host) (logic.Listing, bool) {
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -189,64 +189,152 @@
 	}
 }
 
-// TestEndpointsThatMisbehave: what a raw answer means for a record that must not run twice. An endpoint answers the
-// first call so, and closes; the next ones it serves.
-func TestEndpointsThatMisbehave(t *testing.T) {
-	const ok, late = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Le"
-	for raw, want := range map[string]string{
-		"rubbish\r\n": "undeliverable", "": "undeliverable", "HTTP/1.1 599 What\r\n\r\n": "undeliverable",
-		"HTTP/1.1 500 No\r\nContent-Length: 9\r\n\r\ncut": "undeliverable",
-		"HTTP/1.1 429 Full\r\nContent-Length: x\r\n\r\n":  "undeliverable",
-		"HTTP/1.1 200 OK\r\nBad header\r\n\r\n":           "first call", late: "first call", ok + ok: "first call",
-		"HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n":      "first call",
-		"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n":        "second call",
-		"HTTP/1.1 503 Full\r\nConnection: close\r\n\r\nbody":    "second call",
-		"HTTP/1.1 504 No more\r\nContent-Length: 0\r\n\r\n":     "second call",
-		"HTTP/1.1 410 Over\r\nContent-Length: 0\r\n\r\n" + "xx": "first call",
-	} {
-		t.Run(fmt.Sprintf("%.30q", raw), func(t *testing.T) {
-			t.Parallel()
-			w := open(t, 0)
-			l, err := net.Listen("tcp", "127.0.0.1:0")
+// misbehaving is an endpoint that answers its first call with raw bytes, and the next ones well. It tells the number of
+// each call and the connection on which it came.
+func misbehaving(t *testing.T, w *standin.World, raw string, stays bool) (calls chan [2]int) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	w.Endpoints = []string{l.Addr().String()}
+	calls = make(chan [2]int, 100)
+	var n atomic.Int64
+	go func() {
+		for up := 1; ; up++ {
+			conn, err := l.Accept()
 			if err != nil {
-				t.Fatal(err)
+				return
 			}
-			t.Cleanup(func() { l.Close() })
-			w.Endpoints = []string{l.Addr().String()}
-			calls := make(chan int, 100)
 			go func() {
-				for n := 1; ; n++ {
-					conn, err := l.Accept()
-					if err != nil {
+				defer conn.Close()
+				for {
+					if _, err := conn.Read(make([]byte, 4096)); err != nil {
 						return
 					}
-					answer := ok
-					if n == 1 {
-						answer = raw
-					}
-					if _, err := conn.Read(make([]byte, 4096)); err == nil {
-						calls <- n
-						conn.Write([]byte(answer))
+					call := int(n.Add(1))
+					calls <- [2]int{call, up}
+					if call > 1 {
+						conn.Write([]byte(okAnswer))
+					} else if conn.Write([]byte(raw)); !stays {
+						return
 					}
-					conn.Close()
 				}
 			}()
-			hand(t, serve(t, w, 0), "one")
-			<-calls
-			got := "first call"
-			for deadline := time.Now().Add(3 * time.Second); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
-				if _, _, notices := w.Seen("one"); len(notices) > 0 {
-					got = notices[0]
-					break
-				} else if len(calls) > 0 {
-					got = "second call"
-					break
-				}
-			}
-			if got != want {
-				t.Errorf("ended by %s, want %s", got, want)
+		}
+	}()
+	return calls
+}
+
+const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+
+// TestEndpointsThatMisbehave: what a raw answer means for a record that must not run twice, where the connection ends
+// after it and where it stays: a spoilt one has run, and nobody waits for the rest of it until no time is left.
+func TestEndpointsThatMisbehave(t *testing.T) {
+	const ended, stays, lost, done, again = 1, 2, "undeliverable", "done", "second call"
+	for raw, c := range map[string]struct {
+		kinds int
+		want  string
+	}{
+		"rubbish\r\n": {ended | stays, lost}, "": {ended, lost}, "HTTP/1.1 599 What\r\n\r\n": {ended | stays, lost},
+		"noise with no end": {ended | stays, lost}, "HTTP/1.1 503 Full\r\nX: y\r\n": {stays, lost},
+		"HTTP/1.1 500 No\r\nContent-Length: 9\r\n\r\ncut":                       {ended | stays, lost},
+		"HTTP/1.1 429 Full\r\nContent-Length: x\r\n\r\n":                        {ended | stays, lost},
+		"HTTP/1.1 429 Full\r\nContent-Length: 3000000000\r\n\r\nand on and on":  {ended | stays, lost},
+		"HTTP/1.1 200 OK\r\nBad header\r\n\r\n":                                 {ended | stays, done},
+		"HTTP/1.1 200 OK\r\nContent-Le":                                         {ended | stays, done},
+		"HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\ncut":                       {ended | stays, done},
+		"HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n":                      {ended | stays, done},
+		okAnswer + okAnswer:                                                     {ended | stays, done},
+		okAnswer + "noise":                                                      {ended | stays, done},
+		"HTTP/1.1 100 Go\r\n\r\nHTTP/1.1 103 Hints\r\nA: b\r\n\r\n" + okAnswer:  {ended | stays, done},
+		"HTTP/1.1 200 OK\r\nX-Load-Report: ?=;\r\nContent-Length: 0\r\n\r\n":    {ended | stays, done},
+		"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n":                        {ended | stays, again},
+		"HTTP/1.1 503 Full\r\nConnection: close\r\n\r\nbody":                    {ended, again},
+		"HTTP/1.1 504 No more\r\nContent-Length: 0\r\n\r\n":                     {ended | stays, again},
+		"HTTP/1.1 410 Over\r\nContent-Length: 0\r\n\r\n" + "xx":                 {ended | stays, done},
+		"HTTP/1.1 100 Go\r\n\r\nHTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n": {ended | stays, again},
+	} {
+		for _, kind := range []int{ended, stays} {
+			if c.kinds&kind == 0 {
+				continue
 			}
-		})
+			t.Run(fmt.Sprintf("%d %.40q", kind, raw), func(t *testing.T) {
+				t.Parallel()
+				w := open(t, 0)
+				calls := misbehaving(t, w, raw, kind == stays)
+				listen := serve(t, w, 0)
+				hand(t, listen, "one")
+				<-calls
+				got := done
+				for deadline := time.Now().Add(1500 * time.Millisecond); time.Now().Before(deadline) && got == done; time.Sleep(10 * time.Millisecond) {
+					if _, _, notices := w.Seen("one"); len(notices) > 0 {
+						got = notices[0]
+					} else if len(calls) > 0 {
+						got = again
+					}
+				}
+				if got != c.want {
+					t.Fatalf("ended by %s, want %s", got, c.want)
+				}
+				if got == done { // it is over only if its id can be taken on anew
+					hand(t, listen, "one")
+					select {
+					case <-calls:
+					case <-time.After(2 * time.Second):
+						t.Error("the record is still held")
+					}
+				}
+			})
+		}
+	}
+}
+
+// TestMoreThanAnAnswer: what comes after an answer is not taken for the answer to the next call, which goes over another
+// connection. It may come with the answer or later.
+func TestMoreThanAnAnswer(t *testing.T) {
+	for _, more := range []string{okAnswer, "noise", "\x00"} {
+		w := open(t, 0)
+		calls := misbehaving(t, w, okAnswer+more, true)
+		listen := serve(t, w, 0)
+		hand(t, listen, "one")
+		first := <-calls
+		time.Sleep(100 * time.Millisecond)
+		hand(t, listen, "two")
+		if second := <-calls; second[1] == first[1] {
+			t.Errorf("%q: the next call went over the same connection", more)
+		}
+		time.Sleep(200 * time.Millisecond)
+		if _, _, notices := w.Seen("two"); len(notices) > 0 {
+			t.Errorf("%q: the next record ended by %v", more, notices)
+		}
+	}
+}
+
+// TestAnAddressIsNobody: connections that rest lead to who was there. Once another endpoint has the address, or the same
+// one has started again, calls go over new ones.
+func TestAnAddressIsNobody(t *testing.T) {
+	for name, change := range map[string]func(h *protocol.Host){
+		"another": func(h *protocol.Host) { h.Host = "s-new" }, "started again": func(h *protocol.Host) { h.Born = 7 },
+		"same": func(*protocol.Host) {},
+	} {
+		w := open(t, 0)
+		r := prepare(t, w)
+		var before protocol.Host
+		for _, h := range r.hosts {
+			before = h
+		}
+		x := &exchange{peer: peerOf(before)}
+		l := &link{router: r, peer: x.peer, conn: &transport.Conn{}}
+		r.links.all[l] = true
+		r.links.rests(l)
+		after := before
+		change(&after)
+		r.news(protocol.List{Whole: true, Hosts: []protocol.Host{after}}, logic.Complete)
+		if kept := r.links.all[l] && len(r.links.idle[peerOf(after)]) == 1; kept != (name == "same") {
+			t.Errorf("%s: kept %v", name, kept)
+		}
 	}
 }
 
@@ -294,7 +382,7 @@
 		t.Run(name, func(t *testing.T) {
 			w := open(t, 0)
 			r := prepare(t, w, &spool.Record{ID: "one", Workload: "order", Dest: 1, CutOff: time.Now().Add(time.Minute).UnixMicro()})
-			driver, err := transport.Open(r.dep.Listen, 1024, r.log, r.clients.accept)
+			driver, err := transport.Open(r.dep.Listen, 1024, r.log, r.clients.admit, r.clients.accept)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -308,7 +396,7 @@
 				case <-time.After(5 * time.Second):
 					t.Fatal("no connection")
 				}
-				if e, ok := what.(linkUp); ok && e.on.addr == w.Endpoints[0] {
+				if e, ok := what.(linkUp); ok && e.on.peer.addr == w.Endpoints[0] {
 					up = true
 					overtake(r)
 				}
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -43,15 +43,16 @@
 	log      *slog.Logger
 }
 
-// Open starts a driver that listens on addr and makes a Handler for each connection that comes in.
-func Open(addr string, sockets int, log *slog.Logger, accept func() Handler) (*Driver, error) {
+// Open starts a driver that listens on addr and makes a Handler for each connection that comes in
+// and is admitted.
+func Open(addr string, sockets int, log *slog.Logger, admit func() bool, accept func() Handler) (*Driver, error) {
 	nbio.MaxOpenFiles = sockets + 64 // nbio keeps a table of that length
 	d := &Driver{log: log}
 	logging.DefaultLogger = quiet{d}
 	listen := func(network, addr string) (l net.Listener, err error) {
 		l, err = net.Listen(network, addr)
-		d.listener = l
-		return l, err
+		d.listener = gate{l, admit}
+		return d.listener, err
 	}
 	d.engine = nbio.NewEngine(nbio.Config{Network: "tcp", Addrs: []string{addr}, NPoller: 1, Listen: listen,
 		ReadBufferSize: readBuffer, MaxWriteBufferSize: writeBuffer, MaxConnReadTimesPerEventLoop: readsInRow})
@@ -63,8 +64,9 @@
 		}
 	})
 	d.engine.OnData(func(raw *nbio.Conn, data []byte) {
-		c := raw.Session().(*Conn)
-		c.guarded(func() { c.handler.Data(c, data) })
+		if c, ok := raw.Session().(*Conn); ok {
+			c.guarded(func() { c.handler.Data(c, data) })
+		}
 	})
 	d.engine.OnWrittenSize(func(raw *nbio.Conn, _ []byte, n int) {
 		raw.Session().(*Conn).written.Add(int64(n))
@@ -83,6 +85,28 @@
 	return d, d.engine.Start()
 }
 
+// gate closes connections that are not admitted before they cost a place among those that are.
+type gate struct {
+	net.Listener
+	admit func() bool
+}
+
+func (g gate) Accept() (net.Conn, error) {
+	for {
+		conn, err := g.Listener.Accept()
+		for waited := time.Duration(0); err == nil && !g.admit() && waited < admitWait; waited += admitWait / 50 {
+			time.Sleep(admitWait / 50)
+		}
+		if err != nil || g.admit() {
+			return conn, err
+		}
+		conn.Close()
+	}
+}
+
+// admitWait is how long a connection waits for a place, which others are about to leave; the rest waits behind it.
+const admitWait = 50 * time.Millisecond
+
 // Deafen takes no more connections in; those that are up stay.
 func (d *Driver) Deafen() {
 	d.deaf.Store(true)
@@ -184,7 +208,7 @@
 		return false
 	}
 	defer c.turn.Unlock()
-	if !rests() {
+	if c.last || !rests() {
 		return false
 	}
 	c.Close()
