--- a/logic/logic.go
+++ b/logic/logic.go
@@ -380,7 +380,7 @@
 	}
 	t, o := r.trips[e.Trip], e.Outcome
 	ep := t.at
-	if c.endTrip(t); ep.calls == 0 && c.closes(ep) {
+	if c.endTrip(t, o == Void && e.Over); ep.calls == 0 && c.closes(ep) {
 		ep.idleSince = 0
 		c.do(CloseIdle{ep.Endpoint})
 	}
@@ -557,9 +557,10 @@
 // spacing is the least time between two calls on a route.
 func (c *Courier) spacing(rt *route) Micros {
 	gap, warm := rt.gap, c.warmth(rt)
-	if rt.told && rt.left < scarce {
-		// A limit that is nearly used up, or has shrunk: keep to this courier's part of it.
-		gap = max(gap, Micros((1-rt.left/scarce)*float64(second)/c.base(rt)))
+	if rt.told {
+		// A limit that is nearly used up, or has shrunk: keep to this courier's part of it. No gap need be wider.
+		part := float64(second) / c.base(rt)
+		gap = min(Micros(part), max(gap, Micros((1-rt.left/scarce)*part)))
 	}
 	if rt.sick || rt.cold {
 		// Under the fall multiple, and not far over what it can do. One a second from all couriers always goes.
--- a/logic/state.go
+++ b/logic/state.go
@@ -91,8 +91,10 @@
 
 // call is what one slot carries: one trip, or several that share their fate.
 type call struct {
-	at   *endpoint
-	open int
+	at     *endpoint
+	open   int
+	sent   bool   // something of it was
+	before Micros // the last call of the route then
 }
 
 type dest struct {
@@ -338,12 +340,13 @@
 
 // startCall takes a slot for a call to an endpoint.
 func (c *Courier) startCall(ep *endpoint) *call {
+	cl := &call{at: ep, before: ep.route.lastCall}
 	c.calls++
 	ep.calls++
 	ep.dest.calls++
 	ep.route.lastCall = c.now
 	ep.sent.add(c.now, rateOver, 1)
-	return &call{at: ep}
+	return cl
 }
 
 // addTrip puts a record on a call.
@@ -357,16 +360,21 @@
 	return t
 }
 
-// endTrip books an outcome; with the last of its call the slot is free again.
-func (c *Courier) endTrip(t *trip) {
+// endTrip books an outcome; with the last of its call the slot is free again. A call whose record was over already, as
+// its client had withdrawn it, was not sent: it uses up no place in the pace, or others would wait behind the dead.
+func (c *Courier) endTrip(t *trip, unsent bool) {
 	t.over = true
 	t.rec.out--
 	rt := t.at.route
 	same := func(o *trip) bool { return o == t }
 	rt.out, c.flying = slices.DeleteFunc(rt.out, same), slices.DeleteFunc(c.flying, same)
+	t.call.sent = t.call.sent || !unsent
 	if t.call.open--; t.call.open > 0 {
 		return
 	}
+	if !t.call.sent && rt.lastCall == t.sent {
+		rt.lastCall = t.call.before
+	}
 	c.calls--
 	t.at.dest.calls--
 	if t.at.calls--; t.at.calls == 0 {
