--- a/logic/logic.go
+++ b/logic/logic.go
@@ -74,8 +74,7 @@
 // Answer times are kept over some tens of answers at usual traffic; a trouble lasts about as long.
 const tookOver = 15 * second
 
-// mean is the answer time to expect of a route; before anything was seen, what all routes show, and
-// before that half the shortest quoted time.
+// mean is the answer time to expect of a route: what it shows, or all do, or half the shortest quoted time.
 func (c *Courier) mean(r *route) Micros {
 	every, here := c.took.fade(c.now, tookOver), r.took.fade(c.now, tookOver)
 	all := (every.sum + 3*float64(c.prior)) / (every.weight + 3)
@@ -335,7 +334,8 @@
 }
 
 // strike counts a sign of an outage: three in a row with nothing served for a while, or two where a courier
-// calls rarely, as hundreds would push a return over. A refusal may tell of a listed limit: those need three.
+// calls rarely, as hundreds would push a return over. A refusal may tell of a listed limit: those need three; and
+// where a report tells of a limit that is used up, that is all it says: taken for an outage, it began a cold ramp.
 func (c *Courier) strike(rt *route, signs *int, o Outcome) {
 	few := 3
 	if c.base(rt) < rare && (o != Full || rt.rate == 0) {
@@ -343,7 +343,7 @@
 			few = 1 // all that most couriers like this one will see of it
 		}
 	}
-	if *signs++; *signs >= few && c.now-rt.lastDone > outageAfter {
+	if *signs++; *signs >= few && c.now-rt.lastDone > outageAfter && !(o == Full && rt.told && rt.left < scarce) {
 		c.sicken(rt)
 	}
 }
@@ -448,6 +448,9 @@
 		if rt.gap*4 <= rt.knee*5 && rt.gap*4 >= rt.knee*3 {
 			share = 16 // near where it was last refused: a quarter would be refused every third call
 		}
+		if rt.told && rt.left >= scarce {
+			rt.gap = min(rt.gap, c.part(rt)) // plenty is left: what was refused before says nothing any more
+		}
 		if rt.gap = min(rt.gap, 4*gapCeiling) * (share - 1) / share; rt.gap < gapStep {
 			rt.gap = 0
 		}
@@ -500,8 +503,7 @@
 	rateOver   = 30 * second // what a destination takes from this courier is judged over a day's part
 )
 
-// base is this courier's part of what a route can do, in calls a second: listed or reported, else what
-// it was seen to do.
+// base is this courier's part of what a route can do, in calls a second: listed, reported, or else seen.
 func (c *Courier) base(rt *route) float64 {
 	couriers := float64(max(1, c.ch.Couriers))
 	switch {
@@ -513,6 +515,8 @@
 	return max(1.3*c.own(rt), 1/couriers) // nothing listed: a limit is mostly well over the usual calls
 }
 
+func (c *Courier) part(rt *route) Micros { return Micros(float64(second) / c.base(rt)) } // the spacing of that
+
 // own is what this courier had done there before an outage, with room, as limits lie above the usual calls.
 func (c *Courier) own(rt *route) float64 { return 1.4 * max(rt.usual, c.seen(rt)) }
 
@@ -534,13 +538,12 @@
 // come too late. It begins at a sixth of the spacing of this courier's part, and ends at that, or a second.
 func (c *Courier) widen(rt *route) {
 	if rt.widened != c.now {
-		part := Micros(float64(second) / c.base(rt))
 		rt.widened, rt.knee = c.now, rt.gap
-		step := min(part/6, 4*gapCeiling)
+		step := min(c.part(rt)/6, 4*gapCeiling)
 		if c.base(rt) < rare {
 			step = 4*gapCeiling + Micros(c.rng.Int63n(int64(12*gapCeiling)))
 		}
-		rt.gap = min(max(gapCeiling, part), max(gapStep, step, 2*rt.gap))
+		rt.gap = min(max(gapCeiling, c.part(rt)), max(gapStep, step, 2*rt.gap))
 	}
 }
 
@@ -557,10 +560,9 @@
 // spacing is the least time between two calls on a route.
 func (c *Courier) spacing(rt *route) Micros {
 	gap, warm := rt.gap, c.warmth(rt)
-	if rt.told {
-		// A limit that is nearly used up, or has shrunk: keep to this courier's part of it. No gap need be wider.
-		part := float64(second) / c.base(rt)
-		gap = min(Micros(part), max(gap, Micros((1-rt.left/scarce)*part)))
+	if rt.told && rt.left < scarce {
+		// A limit that is nearly used up, or has shrunk: keep to this courier's part of it.
+		gap = max(gap, Micros((1-rt.left/scarce)*float64(c.part(rt))))
 	}
 	if rt.sick || rt.cold {
 		// Under the fall multiple, and not far over what it can do. One a second from all couriers always goes.
