--- a/logic/logic.go
+++ b/logic/logic.go
@@ -579,10 +579,10 @@
 		sent = false
 		for _, d := range order {
 			switch free := c.ch.Slots - c.calls; {
-			case len(d.queue) == 0 || d.calls > free:
+			case len(d.queue) == 0 || free > 0 && d.calls > free:
 			case free > 0:
 				sent = c.sendOne(d) || sent
-			default: // it has no call out, and there is no slot
+			default: // there is no slot
 				ep, _ := c.place(d.queue[0])
 				starved = starved || ep != nil
 			}
