--- a/logic/logic.go
+++ b/logic/logic.go
@@ -50,7 +50,7 @@
 		}
 	}
 	if c.askAt <= now {
-		c.askAt = never
+		c.askAt, c.asked = never, now
 		c.do(Watch{})
 	}
 	c.look(c.askAt)
@@ -167,8 +167,7 @@
 	return at
 }
 
-// mayGoAgain tells whether rules and allowance leave a record another trip. The allowance goes by payoff, all
-// of the charter's for the dearest workload; trips turned away unseen cost little and count only there.
+// mayGoAgain: by the rules, and by payoff, up to all of the charter's trips; those turned away unseen cost little.
 func (c *Courier) mayGoAgain(r *record) bool {
 	more := float64(c.ch.MaxTrips-1) * r.payoff / max(c.topPayoff, 1e-9)
 	return len(r.trips) < c.ch.MaxTrips && len(r.trips)-r.refused < max(2, 1+int(math.Ceil(more))) &&
@@ -232,9 +231,11 @@
 
 func (c *Courier) list(e ListNews) {
 	if e.How == ListError {
-		c.askAt = c.now + second + Micros(c.rng.Int63n(int64(3*second))) // the list answers all in some seconds
+		// The list answers all in some seconds; after a call that lasted, what it had to tell may count as told.
+		c.askAt = max(c.now+second/20, c.asked+second+Micros(c.rng.Int63n(int64(3*second))))
 		return
 	}
+	c.asked = c.now
 	if e.How != Partial {
 		for _, ep := range c.endpoints {
 			ep.Phase = Gone
@@ -375,8 +376,7 @@
 	if r == nil || int(e.Trip) >= len(r.trips) || r.trips[e.Trip].over {
 		return
 	}
-	t, o := r.trips[e.Trip], e.Outcome
-	ep := t.at
+	t, ep, o := r.trips[e.Trip], r.trips[e.Trip].at, e.Outcome
 	if c.endTrip(t, e); ep.calls == 0 && c.closes(ep) {
 		ep.idleSince = 0
 		c.do(CloseIdle{ep.Endpoint})
@@ -573,7 +573,7 @@
 	for _, d := range c.waiting {
 		c.sortQueue(d)
 	}
-	order, starved := slices.Clone(c.waiting), false
+	order, late := slices.Clone(c.waiting), math.Inf(1)
 	slices.SortStableFunc(order, func(a, b *dest) int { return cmp.Compare(b.urgency, a.urgency) })
 	for sent := true; sent; {
 		sent = false
@@ -583,20 +583,20 @@
 			case free > 0:
 				sent = c.sendOne(d) || sent
 			default: // there is no slot
-				ep, _ := c.place(d.queue[0])
-				starved = starved || ep != nil
+				if ep, _ := c.place(d.queue[0]); ep != nil {
+					late = min(late, 3+float64(min(d.calls, 1))) // more where it has a call out
+				}
 			}
 		}
 	}
-	if starved && c.ch.MayCancel {
-		c.reclaim()
+	if late < math.Inf(1) && c.ch.MayCancel {
+		c.reclaim(late)
 	}
 }
 
-// reclaim calls off the most overdue: lost calls would fill all slots. Hurts if all turn slow at once.
-func (c *Courier) reclaim() {
+// reclaim calls off the most overdue; nine in ten take under 3 means and a bit. Hurts if all turn slow at once.
+func (c *Courier) reclaim(most float64) {
 	var worst *trip
-	most := 3.0 // times the mean and a quarter second: by then nine in ten are answered
 	for _, t := range c.flying {
 		over := float64(c.now-t.sent) / float64(c.mean(t.at.route)+second/4)
 		if t.rec.work.Repeat == SingleUse {
--- a/logic/state.go
+++ b/logic/state.go
@@ -39,6 +39,7 @@
 	lookAt    Micros     // when something held may next be done
 	wakeAt    Micros     // the earliest wake-up asked for
 	askAt     Micros
+	asked     Micros // or last told: a watch goes on by itself
 	closeAt   Micros // this process ends
 	topPayoff float64
 }
--- a/routing/calls.go
+++ b/routing/calls.go
@@ -97,7 +97,6 @@
 
 // begun shortens the waiting for an answer of which a part has come.
 func (r *Router) begun(c *call) {
-	c.exchange.cut = true
 	for _, t := range c.trips {
 		t.limit = min(t.limit, r.now+restSlack)
 	}
--- a/routing/links.go
+++ b/routing/links.go
@@ -20,7 +20,7 @@
 	over  bool
 	cut   bool        // part of an answer is here
 	still func() bool // asked once more when a new connection is up; nil for always
-	begun func()      // told when an answer has begun and the rest of it has not come yet; may be nil
+	begun func()      // told when an answer has begun and the rest of it has not come yet
 	end   func(protocol.Answer, error)
 }
 
@@ -226,7 +226,8 @@
 
 // begun: the rest of an answer follows at once, or never.
 func (ls *links) begun(e linkBegun) {
-	if x := e.on.x; x != nil && !x.over && e.turn == e.on.turn.Load() && x.begun != nil {
+	if x := e.on.x; x != nil && !x.over && e.turn == e.on.turn.Load() {
+		x.cut = true
 		x.begun()
 	}
 }
--- a/routing/platform.go
+++ b/routing/platform.go
@@ -13,6 +13,8 @@
 const (
 	watchWait  = 5 * 1000 * 1000 // how long discovery may hold a watch; a dead connection shows so much later
 	watchSlack = 1500 * 1000     // and its answer may take
+	listSlack  = 150 * 1000      // the rest of a list that has begun may take; a drain that it tells has a grace of less
+	cutAgain   = 30 * 1000       // after one that broke off
 	askAgain   = 1000 * 1000     // where nobody else says when to ask again
 	nothingNew = 100 * 1000      // an answer that comes sooner and is no newer would have us ask in a circle
 
@@ -69,13 +71,15 @@
 		return
 	}
 	x := &exchange{peer: peer{addr: p.r.dep.Discovery}, whole: true,
-		bytes: protocol.Watch(p.r.dep.Discovery, p.seq, watchWait/1000), end: p.watched}
+		bytes: protocol.Watch(p.r.dep.Discovery, p.seq, watchWait/1000), end: p.watched,
+		begun: func() { p.watchBy = min(p.watchBy, p.r.now+listSlack) }}
 	p.askedAt = p.r.now
 	p.watching, p.watchBy = x, p.r.now+watchWait+watchSlack
 	p.r.links.start(x)
 }
 
 func (p *platform) watched(a protocol.Answer, err error) {
+	cut := p.watching.cut
 	p.watching, p.watchBy = nil, never
 	if err == nil && a.Status != 200 {
 		err = fmt.Errorf("status %d", a.Status)
@@ -85,7 +89,11 @@
 		list, err = protocol.ReadList(a.Body)
 	}
 	if err != nil {
-		p.r.log.Warn("watch failed", "fault", err)
+		p.r.log.Warn("watch failed", "fault", err, "cut", cut)
+		if cut { // it has begun to tell, and what it told counts
+			p.askAt = p.r.now + cutAgain
+			return
+		}
 		p.r.events = append(p.r.events, logic.ListNews{How: logic.ListError})
 		if !p.r.dep.Charter.MustAsk {
 			p.askAt = p.r.now + askAgain
@@ -183,7 +191,7 @@
 		return false
 	}
 	t.x = &exchange{peer: peer{addr: p.r.dep.Discovery}, bytes: protocol.Notices(p.r.dep.Discovery, notices),
-		end: func(a protocol.Answer, err error) { p.told(t, a, err) }}
+		begun: func() {}, end: func(a protocol.Answer, err error) { p.told(t, a, err) }}
 	p.calls = append(p.calls, t)
 	p.r.links.start(t.x)
 	return true
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -366,6 +366,46 @@
 	}
 }
 
+// TestListThatBreaksOff: what a list that broke off or got stuck had begun to tell counts as told, so it is asked for
+// again at once, within the grace of a drain.
+func TestListThatBreaksOff(t *testing.T) {
+	for name, stuck := range map[string]bool{"breaks off": false, "gets stuck": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { l.Close() })
+			asked := make(chan time.Time, 10)
+			go func() {
+				for {
+					conn, err := l.Accept()
+					if err != nil {
+						return
+					}
+					if _, err := conn.Read(make([]byte, 4096)); err == nil {
+						asked <- time.Now()
+						fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n{\"seq\":9,")
+					}
+					if stuck {
+						t.Cleanup(func() { conn.Close() })
+					} else {
+						conn.Close()
+					}
+				}
+			}()
+			w := open(t, 0)
+			w.Discovery = l.Addr().String()
+			serve(t, w, 0)
+			first, second := <-asked, <-asked
+			if second.Sub(first) > 400*time.Millisecond {
+				t.Errorf("asked again after %v", second.Sub(first))
+			}
+		})
+	}
+}
+
 // TestOvertakenWhileDialling: what a drain or a wait overtakes before its first byte is not sent there any more.
 func TestOvertakenWhileDialling(t *testing.T) {
 	for name, overtake := range map[string]func(r *Router){
