--- a/protocol/calls.go
+++ b/protocol/calls.go
@@ -125,26 +125,58 @@
 	}
 	l := List{Seq: *raw.Seq, Whole: raw.Whole}
 	for _, text := range raw.Hosts {
-		h := Host{Dest: -1}
-		err := json.Unmarshal(text, &h)
-		switch {
-		case err != nil:
-		case !isToken([]byte(h.Host)):
-			err = fmt.Errorf("host: a name was expected")
-		case h.Dest < 0:
-			err = fmt.Errorf("host %s: block: a number was expected", h.Host)
-		case h.Health != InService && h.Health != Terminating && h.Health != Terminated:
-			err = fmt.Errorf("host %s: health: unknown state %.20q", h.Host, h.Health)
-		case h.Health != Terminated && !isAddress(h.Dial):
-			err = fmt.Errorf("host %s: dial: address:port was expected, not %.40q", h.Host, h.Dial)
+		l.add(text)
+	}
+	return l, nil
+}
+
+func (l *List) add(text []byte) {
+	h := Host{Dest: -1}
+	err := json.Unmarshal(text, &h)
+	switch {
+	case err != nil:
+	case !isToken([]byte(h.Host)):
+		err = fmt.Errorf("host: a name was expected")
+	case h.Dest < 0:
+		err = fmt.Errorf("host %s: block: a number was expected", h.Host)
+	case h.Health != InService && h.Health != Terminating && h.Health != Terminated:
+		err = fmt.Errorf("host %s: health: unknown state %.20q", h.Host, h.Health)
+	case h.Health != Terminated && !isAddress(h.Dial):
+		err = fmt.Errorf("host %s: dial: address:port was expected, not %.40q", h.Host, h.Dial)
+	}
+	if err != nil {
+		l.Faults = append(l.Faults, err)
+		return
+	}
+	l.Hosts = append(l.Hosts, h)
+}
+
+// ReadPart reads the entries that are complete of a list that broke off.
+func ReadPart(text []byte) (l List) {
+	dec := json.NewDecoder(bytes.NewReader(text))
+	if start, err := dec.Token(); err != nil || start != json.Delim('{') {
+		return l
+	}
+	for dec.More() {
+		key, err := dec.Token()
+		if err == nil && key == "seq" {
+			err = dec.Decode(&l.Seq)
+		} else if err == nil && key == "hosts" {
+			_, err = dec.Token()
+			for err == nil && dec.More() {
+				var one json.RawMessage
+				if err = dec.Decode(&one); err == nil {
+					l.add(one)
+				}
+			}
+		} else if err == nil {
+			err = dec.Decode(new(json.RawMessage))
 		}
-		if err != nil {
-			l.Faults = append(l.Faults, err)
-			continue
+		if err != nil || key == "hosts" {
+			return l
 		}
-		l.Hosts = append(l.Hosts, h)
 	}
-	return l, nil
+	return l
 }
 
 // Watch writes the call that waits for what is newer than a version.
--- a/protocol/http.go
+++ b/protocol/http.go
@@ -82,6 +82,9 @@
 	return a.now.Status, true
 }
 
+// Part is what has come of the body of an answer that is not complete.
+func (a *Answers) Part() []byte { return a.now.Body }
+
 // Feed takes what came in and returns the answer that is complete, if one is. One request at a time goes over a
 // connection: what comes after its answer belongs to nothing, and would else pass for the answer to the next.
 func (a *Answers) Feed(b []byte) (answer Answer, done bool, err error) {
--- a/protocol/protocol_test.go
+++ b/protocol/protocol_test.go
@@ -228,6 +228,27 @@
 	}
 }
 
+// TestListThatBrokeOff: cut at any byte, what is read of a list is a part of it, and only whole entries count.
+func TestListThatBrokeOff(t *testing.T) {
+	entry := `{"host":"%s","dial":"127.0.0.1:80","site":"a","class":"m","block":3,"health":"terminating","share":1.5}`
+	text := `{"seq":4,"whole":true,"x":{"y":[1]},"hosts":[` + fmt.Sprintf(entry+","+entry, "a", "b") + `]}`
+	whole, err := ReadList([]byte(text))
+	if err != nil || len(whole.Hosts) != 2 {
+		t.Fatal(whole, err)
+	}
+	for i := range text {
+		want := whole.Hosts[:strings.Count(text[:i], "1.5}")]
+		if got := ReadPart([]byte(text[:i])); len(got.Hosts) != len(want) || len(want) > 0 && (!reflect.DeepEqual(got.Hosts, want) || got.Seq != 4) {
+			t.Fatalf("cut at %d: %+v", i, got)
+		}
+	}
+	for _, bad := range []string{"", "[]", "{\"hosts\":3}", "noise"} {
+		if got := ReadPart([]byte(bad)); len(got.Hosts) > 0 {
+			t.Errorf("%q read as %+v", bad, got)
+		}
+	}
+}
+
 func TestPressure(t *testing.T) {
 	names := []string{"x0", "x1"}
 	if got := Pressure("x1=25, zz=1,x0=0.4", names); !reflect.DeepEqual(got, []float64{0.4, 25}) {
--- a/routing/links.go
+++ b/routing/links.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"sync/atomic"
 
 	"pineport/logic"
@@ -19,6 +20,7 @@
 	sent  bool
 	over  bool
 	cut   bool        // part of an answer is here
+	part  []byte      // of its body
 	still func() bool // asked once more when a new connection is up; nil for always
 	begun func()      // told when an answer has begun and the rest of it has not come yet
 	end   func(protocol.Answer, error)
@@ -56,11 +58,13 @@
 	linkBegun struct {
 		on   *link
 		turn int64
+		part []byte
 	}
 	linkDown struct {
 		on      *link
 		turn    int64
 		status  int // of an answer that was cut short
+		part    []byte
 		flushed bool
 		err     error
 	}
@@ -84,7 +88,7 @@
 		l.router.inbox <- linkAnswer{l, turn, a}
 	} else if status >= 200 && err == nil && l.told != turn {
 		l.told = turn
-		l.router.inbox <- linkBegun{l, turn}
+		l.router.inbox <- linkBegun{l, turn, slices.Clone(l.parser.Part())}
 	}
 	if err != nil {
 		l.lost(conn, err)
@@ -108,7 +112,7 @@
 
 func (l *link) lost(conn *transport.Conn, err error) {
 	status, _ := l.parser.Begun()
-	l.router.inbox <- linkDown{l, l.turn.Load(), status, conn.Flushed(), err}
+	l.router.inbox <- linkDown{l, l.turn.Load(), status, slices.Clone(l.parser.Part()), conn.Flushed(), err}
 }
 
 // links are the connections this courier opened.
@@ -227,7 +231,7 @@
 // begun: the rest of an answer follows at once, or never.
 func (ls *links) begun(e linkBegun) {
 	if x := e.on.x; x != nil && !x.over && e.turn == e.on.turn.Load() {
-		x.cut = true
+		x.cut, x.part = true, e.part
 		x.begun()
 	}
 }
@@ -245,6 +249,9 @@
 		return
 	}
 	l.x, x.over = nil, true
+	if len(e.part) > len(x.part) {
+		x.part = e.part
+	}
 	if e.status == 200 && !x.whole && e.turn == l.turn.Load() {
 		x.end(protocol.Answer{Status: 200}, nil) // its first line is all that counts
 		return
--- a/routing/platform.go
+++ b/routing/platform.go
@@ -79,7 +79,7 @@
 }
 
 func (p *platform) watched(a protocol.Answer, err error) {
-	cut := p.watching.cut
+	cut, part := p.watching.cut, p.watching.part
 	p.watching, p.watchBy = nil, never
 	if err == nil && a.Status != 200 {
 		err = fmt.Errorf("status %d", a.Status)
@@ -91,6 +91,9 @@
 	if err != nil {
 		p.r.log.Warn("watch failed", "fault", err, "cut", cut)
 		if cut { // it has begun to tell, and what it told counts
+			if list := protocol.ReadPart(part); list.Seq > p.seq {
+				p.r.news(list, logic.Partial)
+			}
 			p.askAt = p.r.now + cutAgain
 			return
 		}
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -366,8 +366,8 @@
 	}
 }
 
-// TestListThatBreaksOff: what a list that broke off or got stuck had begun to tell counts as told, so it is asked for
-// again at once, within the grace of a drain.
+// TestListThatBreaksOff: what a list that broke off or got stuck had begun to tell counts as told, so what is there of it
+// is heeded, and it is asked for again at once, within the grace of a drain.
 func TestListThatBreaksOff(t *testing.T) {
 	for name, stuck := range map[string]bool{"breaks off": false, "gets stuck": true} {
 		t.Run(name, func(t *testing.T) {
@@ -386,7 +386,8 @@
 					}
 					if _, err := conn.Read(make([]byte, 4096)); err == nil {
 						asked <- time.Now()
-						fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n{\"seq\":9,")
+						fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n"+`{"seq":9,"whole":false,"hosts":[
+							{"host":"s-0","dial":"127.0.0.1:1","site":"a","class":"plain","block":1,"health":"terminating","share":1},{"ho`)
 					}
 					if stuck {
 						t.Cleanup(func() { conn.Close() })
@@ -397,11 +398,16 @@
 			}()
 			w := open(t, 0)
 			w.Discovery = l.Addr().String()
-			serve(t, w, 0)
+			listen := serve(t, w, 0)
 			first, second := <-asked, <-asked
 			if second.Sub(first) > 400*time.Millisecond {
 				t.Errorf("asked again after %v", second.Sub(first))
 			}
+			hand(t, listen, "one")
+			time.Sleep(200 * time.Millisecond)
+			if began, _, _ := w.Seen("one"); began > 0 {
+				t.Error("sent to an endpoint that drains, as the part of the list that is there tells")
+			}
 		})
 	}
 }
