--- a/logic/logic.go
+++ b/logic/logic.go
@@ -21,12 +21,14 @@
 	for _, w := range ch.Workloads {
 		c.topPayoff = max(c.topPayoff, w.Payoff)
 		c.prior = min(c.prior, w.Quoted/2)
+		c.steepest = max(c.steepest, c.steep(&w))
 	}
 	return c
 }
 
-// recharter goes on under another charter. What was taken keeps the workload that it was taken as: its cut-off, and
-// whether it may run twice. Fewer slots end no call; a smaller hold gives up nothing that is held already.
+// recharter goes on under another charter. What was taken keeps the workload that it was taken as: its
+// cut-off, and whether it may run twice. Fewer slots end no call; a smaller hold gives up nothing that is
+// held already.
 func (c *Courier) recharter(ch Charter) {
 	c.ch, c.topPayoff, c.roomy = ch, 0, c.held
 	for _, w := range ch.Workloads {
@@ -104,6 +106,14 @@
 	return p
 }
 
+// steep is what a record loses in a second, at worst.
+func (c *Courier) steep(w *Workload) float64 {
+	if c.ch.Decay == Halves {
+		return w.Payoff / 2 / float64(max(w.Quoted, 1))
+	}
+	return w.Payoff * (1 - w.LatePart) / float64(max(w.Life-w.Quoted, 1))
+}
+
 // worth is what delivering a record at an instant brings.
 func (c *Courier) worth(r *record, at Micros) float64 {
 	late := float64(at - r.due)
@@ -181,7 +191,8 @@
 	return at
 }
 
-// mayGoAgain: by the rules, and by payoff, up to all of the charter's trips; those turned away unseen cost little.
+// mayGoAgain: by the rules, and by payoff, up to all of the charter's trips; those turned away unseen cost
+// little.
 func (c *Courier) mayGoAgain(r *record) bool {
 	more := float64(c.ch.MaxTrips-1) * r.payoff / max(c.topPayoff, 1e-9)
 	return len(r.trips) < c.ch.MaxTrips && len(r.trips)-r.refused < max(2, 1+int(math.Ceil(more))) &&
@@ -350,9 +361,10 @@
 // Outages last 5 to 25 s, limits change as seldom: what is older says nothing of now.
 const loreHolds = 30 * second
 
-// believe takes over what was learned before a restart. Caution is kept whole, and a ramp goes on from where it
-// stood, as the destination may have fallen again meanwhile; what gives confidence fades. So an older lore, while it
-// is believed at all, makes no bolder than a younger one. One from the future is of another clock.
+// believe takes over what was learned before a restart. Caution is kept whole, and a ramp goes on from where
+// it stood, as the destination may have fallen again meanwhile; what gives confidence fades. So an older
+// lore, while it is believed at all, makes no bolder than a younger one. One from the future is of another
+// clock.
 func (c *Courier) believe(l Lore) {
 	if c.now < l.At || c.now-l.At > loreHolds {
 		return
@@ -390,8 +402,9 @@
 	}
 }
 
-// strike counts signs of an outage: three in a row with nothing served for a while, two where calls are rare. A
-// refusal may tell of a listed limit: three; where a report tells that it is used up, it begins no cold ramp.
+// strike counts signs of an outage: three in a row with nothing served for a while, two where calls are rare.
+// A refusal may tell of a listed limit: three; where a report tells that it is used up, it begins no cold
+// ramp.
 func (c *Courier) strike(rt *route, signs *int, o Outcome) {
 	few := 3
 	if c.base(rt) < rare && (o != Full || rt.rate == 0) {
@@ -399,7 +412,8 @@
 			few = 1 // all that most couriers like this one will see of it
 		}
 	}
-	if *signs++; *signs >= few && c.now-rt.lastDone > outageAfter && !(o == Full && rt.told && rt.left < scarce) {
+	usedUp := o == Full && rt.told && rt.left < scarce
+	if *signs++; *signs >= few && c.now-rt.lastDone > outageAfter && !usedUp {
 		c.sicken(rt)
 	}
 }
@@ -466,7 +480,8 @@
 	}
 }
 
-// closes tells whether idle connections crowd a table (the smallest take six): one trip in a hundred found none.
+// closes tells whether idle connections crowd a table (the smallest take six): one trip in a hundred found
+// none.
 func (c *Courier) closes(ep *endpoint) bool {
 	calls := ep.sent.fade(c.now, rateOver).weight / c.span(ep.route) // a microsecond
 	idle := min(1, calls*float64(c.ch.IdleAfter)) - 1.5*calls*float64(c.mean(ep.route))
@@ -478,11 +493,18 @@
 func (c *Courier) learn(e Settled, t *trip) {
 	ep, rt, o := t.at, t.at.route, e.Outcome
 	if l, r := c.ch.LeftAt, c.ch.RateAt; min(l, r) >= 0 && len(e.Pressure) > max(l, r) && e.Pressure[r] > 0 {
-		rt.rate, rt.left, rt.told = e.Pressure[r], e.Pressure[l], true
+		rt.rate, rt.left, rt.told, rt.toldAt = e.Pressure[r], e.Pressure[l], true, c.now
 	}
 	if e.Wait > 0 { // told with whatever outcome: an answer for several holds one beside what was done
 		rt.waitTo, rt.lot = max(rt.waitTo, c.now+e.Wait+c.ch.Tick), c.rng.Float64()
 	}
+	if o == Done || o == Full {
+		q := 0.0
+		if o == Full {
+			q = 1
+		}
+		c.refused[c.kind(rt)].add(c.now, rateOver, q)
+	}
 	// A full connection table looks like an outage of one trip, while others are answered.
 	hollow := o == Unreachable && ep.heard > t.sent
 	crowd := &c.crowd[min(int(ep.Shape), len(c.crowd)-1)]
@@ -515,7 +537,7 @@
 		ep.run.fails, ep.runs[t.rec.class].fails = 0, 0
 		rt.servedSent = max(rt.servedSent, t.sent)
 	case Full:
-		c.widen(rt)
+		c.widen(rt, gapCeiling/2)
 		// Shut: told to wait longer than any limit asks for. What was parked would push it over.
 		if c.strike(rt, &rt.fulls, o); e.Wait > outageAfter {
 			c.sicken(rt)
@@ -533,7 +555,7 @@
 			rt.took.add(c.now, tookOver, float64(e.Took))
 		}
 		if (rt.dest.shape.Apart || rt.strikes >= len(rt.dest.endpoints)) && c.base(rt) < rare {
-			c.widen(rt) // so few calls that six failures in a row come too late
+			c.widen(rt, 4*gapCeiling) // so few calls that six failures in a row come too late
 		}
 		for _, n := range []*run{&ep.run, &ep.runs[t.rec.class]} { // one workload may fail where others do not
 			if n.fails++; n.fails >= 2 || n != &ep.run && c.base(rt) < rare {
@@ -557,6 +579,22 @@
 	rateOver   = 30 * second // what a destination takes from this courier is judged over a day's part
 )
 
+// left is the share of a limit that is left. Where calls are rare the last report is old: limits are counted
+// over a second or two, so room came back meanwhile, unless many are refused at destinations of the kind: one
+// in seven, and they all use up the limit.
+func (c *Courier) left(rt *route) float64 {
+	switch {
+	case !rt.told:
+		return 1
+	case c.base(rt) >= rare:
+		return rt.left
+	}
+	q := c.refused[c.kind(rt)].fade(c.now, rateOver)
+	return rt.left + max(0, 1-7*q.sum/(q.weight+3))*float64(c.now-rt.toldAt)/float64(10*second)
+}
+
+func (c *Courier) kind(rt *route) int { return min(int(rt.dest.endpoints[0].Shape), len(c.refused)-1) }
+
 // base is this courier's part of what a route can do, in calls a second: listed, reported, or else seen.
 func (c *Courier) base(rt *route) float64 {
 	couriers := float64(max(1, c.ch.Couriers))
@@ -590,12 +628,14 @@
 
 // widen doubles the gap, once a round, for refusals; among many couriers for failures too, as six in a row
 // come too late. It begins at a sixth of the spacing of this courier's part, and ends at that, or a second.
-func (c *Courier) widen(rt *route) {
+// Where calls are rare it begins by chance at some least: short for refusals, as a clump is over in seconds,
+// long for failures.
+func (c *Courier) widen(rt *route, least Micros) {
 	if rt.widened != c.now {
 		rt.widened, rt.knee = c.now, rt.gap
 		step := min(c.part(rt)/6, 4*gapCeiling)
 		if c.base(rt) < rare {
-			step = 4*gapCeiling + Micros(c.rng.Int63n(int64(12*gapCeiling)))
+			step = least + Micros(c.rng.Int63n(int64(3*least)))
 		}
 		rt.gap = min(max(gapCeiling, c.part(rt)), max(gapStep, step, 2*rt.gap))
 	}
@@ -614,9 +654,9 @@
 // spacing is the least time between two calls on a route.
 func (c *Courier) spacing(rt *route) Micros {
 	gap, warm := rt.gap, c.warmth(rt)
-	if rt.told && rt.left < scarce {
+	if left := c.left(rt); left < scarce {
 		// A limit that is nearly used up, or has shrunk: keep to this courier's part of it.
-		gap = max(gap, Micros((1-rt.left/scarce)*float64(c.part(rt))))
+		gap = max(gap, Micros((1-left/scarce)*float64(c.part(rt))))
 	}
 	if rt.sick || rt.cold {
 		// Under the fall multiple, and not far over what it can do. One a second from all couriers always goes.
@@ -652,7 +692,8 @@
 	}
 }
 
-// reclaim calls off the most overdue; nine in ten take under 3 means and a bit. Hurts if all turn slow at once.
+// reclaim calls off the most overdue; nine in ten take under 3 means and a bit. Hurts if all turn slow at
+// once.
 func (c *Courier) reclaim(most float64) {
 	var worst *trip
 	for _, t := range c.flying {
@@ -776,6 +817,11 @@
 	if len(rt.out) > 1 && rt.heard < rt.out[1].sent && c.now-rt.out[1].sent > late {
 		gap = max(gap, late)
 	}
+	if !rt.sick && !rt.cold && c.base(rt) < 4*rare {
+		// One queue cannot sort what waits at many couriers: the gap decides who goes first, what loses most by
+		// waiting.
+		gap = Micros(float64(gap) * math.Sqrt(c.steepest/max(c.steep(r.work), 1e-12)))
+	}
 	// All who were told when a shut destination opens would be there at that instant: each draws a lot.
 	at := rt.waitTo + Micros(rt.lot*float64(gap))
 	// A courier that calls rarely can keep no pace: of its new records a part goes at once, by lot.
--- a/logic/state.go
+++ b/logic/state.go
@@ -36,6 +36,7 @@
 	calls     int        // slots in use
 	took      tally      // answer times everywhere
 	broke     [10]tally  // calls that broke or got lost, by how long their connection had rested; first the new ones
+	refused   []tally    // calls refused of those answered, by shape
 	crowd     []tally    // signs of full connection tables, by shape
 	lookAt    Micros     // when something held may next be done
 	wakeAt    Micros     // the earliest wake-up asked for
@@ -43,6 +44,7 @@
 	asked     Micros // or last told: a watch goes on by itself
 	closeAt   Micros // this process ends
 	topPayoff float64
+	steepest  float64
 	late      []*route // called lately, in the order in which they first were
 }
 
@@ -57,6 +59,7 @@
 		keys:      map[Key]*keyLine{},
 		parties:   make([]tally, len(ch.Parties)),
 		crowd:     make([]tally, len(ch.Shapes)+1),
+		refused:   make([]tally, len(ch.Shapes)+1),
 		wakeAt:    never,
 	}
 }
@@ -79,6 +82,7 @@
 		}
 	}
 	c.parties, c.crowd = grown(c.parties, len(c.ch.Parties)), grown(c.crowd, len(c.ch.Shapes)+1)
+	c.refused = grown(c.refused, len(c.ch.Shapes)+1)
 }
 
 type record struct {
@@ -176,6 +180,8 @@
 	servedSent Micros  // the latest sending of a trip that was served
 	left       float64 // share of the limit, as last reported
 	told       bool    // rate and left come from reports
+	toldAt     Micros
+	crowd      tally   // refusals at all couriers, as far as heard
 	usual      float64 // calls a second before the outage
 	rate       float64 // listed or reported calls a second from all couriers; 0 unknown
 	late       bool    // called lately: see Courier.late
