--- a/logic/logic.go
+++ b/logic/logic.go
@@ -607,7 +607,8 @@
 	return max(1.3*c.own(rt), 1/couriers) // nothing listed: a limit is mostly well over the usual calls
 }
 
-func (c *Courier) part(rt *route) Micros { return Micros(float64(second) / c.base(rt)) } // the spacing of that
+// part is the spacing of that.
+func (c *Courier) part(rt *route) Micros { return Micros(float64(second) / c.base(rt)) }
 
 // own is what this courier had done there before an outage, with room, as limits lie above the usual calls.
 func (c *Courier) own(rt *route) float64 { return 1.4 * max(rt.usual, c.seen(rt)) }
@@ -820,7 +821,7 @@
 	if !rt.sick && !rt.cold && c.base(rt) < 4*rare {
 		// One queue cannot sort what waits at many couriers: the gap decides who goes first, what loses most by
 		// waiting.
-		gap = Micros(float64(gap) * math.Sqrt(c.steepest/max(c.steep(r.work), 1e-12)))
+		gap = Micros(float64(gap) * math.Cbrt(c.steepest/max(c.steep(r.work), 1e-12)))
 	}
 	// All who were told when a shut destination opens would be there at that instant: each draws a lot.
 	at := rt.waitTo + Micros(rt.lot*float64(gap))
