--- a/logic/logic.go
+++ b/logic/logic.go
@@ -19,21 +19,26 @@
 		c.askAt = 0
 	}
 	for _, w := range ch.Workloads {
-		c.topPayoff = max(c.topPayoff, w.Payoff)
 		c.prior = min(c.prior, w.Quoted/2)
-		c.steepest = max(c.steepest, c.steep(&w))
 	}
+	c.weigh()
 	return c
 }
 
+// weigh finds what the workloads are measured by: the highest payoff, and what one loses in a second at most.
+func (c *Courier) weigh() {
+	c.topPayoff, c.steepest = 0, 0
+	for _, w := range c.ch.Workloads {
+		c.topPayoff, c.steepest = max(c.topPayoff, w.Payoff), max(c.steepest, c.steep(&w))
+	}
+}
+
 // recharter goes on under another charter. What was taken keeps the workload that it was taken as: its
 // cut-off, and whether it may run twice. Fewer slots end no call; a smaller hold gives up nothing that is
 // held already.
 func (c *Courier) recharter(ch Charter) {
-	c.ch, c.topPayoff, c.roomy = ch, 0, c.held
-	for _, w := range ch.Workloads {
-		c.topPayoff = max(c.topPayoff, w.Payoff)
-	}
+	c.ch, c.roomy = ch, c.held
+	c.weigh()
 	c.makeWider()
 }
 
@@ -286,6 +291,7 @@
 	if int(l.Shape) < len(c.ch.Shapes) {
 		d.shape = c.ch.Shapes[l.Shape]
 	}
+	d.kind = min(int(l.Shape), len(c.refused)-1)
 	h := fnv.New64a()
 	h.Write(binary.LittleEndian.AppendUint32(nil, uint32(c.ch.Number)))
 	h.Write(binary.LittleEndian.AppendUint32([]byte(l.Endpoint), uint32(l.Dest)))
@@ -485,7 +491,7 @@
 func (c *Courier) closes(ep *endpoint) bool {
 	calls := ep.sent.fade(c.now, rateOver).weight / c.span(ep.route) // a microsecond
 	idle := min(1, calls*float64(c.ch.IdleAfter)) - 1.5*calls*float64(c.mean(ep.route))
-	crowd := c.crowd[min(int(ep.Shape), len(c.crowd)-1)]
+	crowd := c.crowd[ep.dest.kind]
 	return crowd.sum > 0.01*(crowd.weight+5) && float64(c.ch.Couriers)*idle > 4
 }
 
@@ -498,16 +504,9 @@
 	if e.Wait > 0 { // told with whatever outcome: an answer for several holds one beside what was done
 		rt.waitTo, rt.lot = max(rt.waitTo, c.now+e.Wait+c.ch.Tick), c.rng.Float64()
 	}
-	if o == Done || o == Full {
-		q := 0.0
-		if o == Full {
-			q = 1
-		}
-		c.refused[c.kind(rt)].add(c.now, rateOver, q)
-	}
 	// A full connection table looks like an outage of one trip, while others are answered.
 	hollow := o == Unreachable && ep.heard > t.sent
-	crowd := &c.crowd[min(int(ep.Shape), len(c.crowd)-1)]
+	crowd := &c.crowd[ep.dest.kind]
 	if o == Unreachable {
 		crowd.add(c.now, rateOver, 1)
 	}
@@ -516,6 +515,7 @@
 		rt.took.add(c.now, tookOver, float64(e.Took))
 		c.took.add(c.now, tookOver, float64(e.Took))
 		rt.done.add(c.now, rateOver, 1)
+		c.refused[rt.dest.kind].add(c.now, rateOver, 0)
 		crowd.add(c.now, rateOver, 0)
 		share := Micros(4)
 		if rt.gap*4 <= rt.knee*5 && rt.gap*4 >= rt.knee*3 {
@@ -537,6 +537,7 @@
 		ep.run.fails, ep.runs[t.rec.class].fails = 0, 0
 		rt.servedSent = max(rt.servedSent, t.sent)
 	case Full:
+		c.refused[rt.dest.kind].add(c.now, rateOver, 1)
 		c.widen(rt, gapCeiling/2)
 		// Shut: told to wait longer than any limit asks for. What was parked would push it over.
 		if c.strike(rt, &rt.fulls, o); e.Wait > outageAfter {
@@ -550,11 +551,14 @@
 			c.broke[t.call.age].add(c.now, rateOver, 1)
 			break // what was sent later was served: that call was lost, not the destination
 		}
-		c.strike(rt, &rt.strikes, o)
+		if o != Broken { // a reset tells that the destination is there
+			c.strike(rt, &rt.strikes, o)
+		}
 		if o == TimedOut {
 			rt.took.add(c.now, tookOver, float64(e.Took))
 		}
-		if (rt.dest.shape.Apart || rt.strikes >= len(rt.dest.endpoints)) && c.base(rt) < rare {
+		some := rt.dest.shape.Apart || rt.strikes >= len(rt.dest.endpoints)
+		if some && c.base(rt) < rare && (o == Unreachable || o == Failure) { // else it may be this one answer
 			c.widen(rt, 4*gapCeiling) // so few calls that six failures in a row come too late
 		}
 		for _, n := range []*run{&ep.run, &ep.runs[t.rec.class]} { // one workload may fail where others do not
@@ -589,12 +593,10 @@
 	case c.base(rt) >= rare:
 		return rt.left
 	}
-	q := c.refused[c.kind(rt)].fade(c.now, rateOver)
+	q := c.refused[rt.dest.kind].fade(c.now, rateOver)
 	return rt.left + max(0, 1-7*q.sum/(q.weight+3))*float64(c.now-rt.toldAt)/float64(10*second)
 }
 
-func (c *Courier) kind(rt *route) int { return min(int(rt.dest.endpoints[0].Shape), len(c.refused)-1) }
-
 // base is this courier's part of what a route can do, in calls a second: listed, reported, or else seen.
 func (c *Courier) base(rt *route) float64 {
 	couriers := float64(max(1, c.ch.Couriers))
--- a/logic/state.go
+++ b/logic/state.go
@@ -130,6 +130,7 @@
 	taken     tally   // records, for the first time
 	id        DestID
 	shape     Shape
+	kind      int // of its shape, in what is counted by it
 	routes    []*route
 	endpoints []*endpoint // in rank
 	queue     []*record
