Returns paced by the fall multiple, refusals told apart, and a watch mode for settings to come

Now 0.7 of the multiple; with the lots' 0.4 that stays under it, as capacity lies over the limit. A tap of that route showed refusals without a wait while its own report told that most of the limit was left, 67 of 79: shut, not over a limit. Such refusals begin gaps of 4 to 16 s again.

Program. watch.file names a configuration whose settings are decided by beside those in use; what they would have done is taken back at once and counted by kind. Held in step in every scenario: under the same charter it never differs, under four others it holds the same records, trips and slots. On loopback: six records against a stand-in, differences only where the slots differ, a faulty file told before anything listens.

--- /dev/null
+++ b/cmd/pineport/watch_test.go
@@ -0,0 +1,79 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"pineport/lab/scripted"
+)
+
+// TestWatchedSettings: beside a courier that serves as before, settings to come are decided by; where they would have held
+// back, as one slot is too few, it is counted and nothing else happens. The same settings differ nowhere. A faulty file
+// is told before anything listens.
+func TestWatchedSettings(t *testing.T) {
+	w, err := scripted.Open(1, func(string) scripted.Fate {
+		return scripted.Fate{Status: 200, After: 150 * time.Millisecond}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer w.Close()
+	for _, slots := range []float64{0, 1} { // 0: as they are
+		c := newCourier(t, w)
+		file, watched := filepath.Join(c.dir, "config.json"), filepath.Join(c.dir, "to-come.json")
+		write := func(path string, change func(top map[string]any)) {
+			var top map[string]any
+			if err := json.Unmarshal(w.Configuration("n0", c.listen), &top); err != nil {
+				t.Fatal(err)
+			}
+			change(top)
+			text, err := json.Marshal(top)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := os.WriteFile(path, text, 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+		toCome := func(slots float64) {
+			write(watched, func(top map[string]any) {
+				if slots != 0 {
+					top["settings"].(map[string]any)["family-info"].(map[string]any)["slots"] = slots
+				}
+			})
+		}
+		write(file, func(top map[string]any) {
+			top["watch"] = map[string]any{"file": watched, "every_s": 0.2}
+		})
+		toCome(-1)
+		out, err := tool("run", "--config", file, "--state", filepath.Join(c.dir, "state"))
+		if said := fmt.Sprint(out, err); err == nil || !strings.Contains(said, "watch.file") ||
+			!strings.Contains(said, "settings.family-info.slots") {
+			t.Errorf("a faulty file to watch: %s", said)
+		}
+		toCome(slots)
+		c.start()
+		var all []string
+		for i := range 6 {
+			all = append(all, enqueue(fmt.Sprintf("w%v-%d", slots, i), "update", 6000))
+		}
+		c.ask(all...)
+		for i := range 6 {
+			id := fmt.Sprintf("w%v-%d", slots, i)
+			waitFor(t, id, 5*time.Second, func() bool { _, done, _ := w.Seen(id); return done == 1 })
+		}
+		c.cmd.Process.Signal(os.Interrupt)
+		c.cmd.Wait()
+		said := c.said()
+		line := said[strings.LastIndex(said, "watched settings"):]
+		held := !strings.Contains(line, " later=0 ")
+		if held != (slots == 1) {
+			t.Errorf("with %v slots to come: %s", slots, line)
+		}
+	}
+}
--- a/config/config.go
+++ b/config/config.go
@@ -27,6 +27,8 @@
 	Known     json.RawMessage // the list as this courier had it last, in discovery's form
 	Learn     time.Duration   // how often at most what was learned is kept; 0: never
 	Log       Log
+	Watch     *Deployment // whose settings are watched; nil for none
+	WatchTell time.Duration
 
 	Charter        logic.Charter
 	Workloads      []string        // names, by the charter's numbers
@@ -81,9 +83,26 @@
 		return nil, err
 	}
 	d.Spool = state
+	if path := doc.Values["watch.file"].Text; path != "" {
+		if d.Watch, err = watched(path, s); err != nil {
+			return nil, fmt.Errorf("watch.file: %w", err)
+		}
+	}
 	return d, nil
 }
 
+// watched reads the configuration to come, from its file and the defaults alone: nothing of it is put to use but settings.
+func watched(path string, s Sources) (*Deployment, error) {
+	doc, err := ReadDocument(Sources{Getenv: func(string) string { return "" }, File: path, Anew: s.Anew})
+	if err != nil {
+		return nil, err
+	}
+	if err := doc.Err(); err != nil {
+		return nil, err
+	}
+	return doc.deployment()
+}
+
 // deployment takes the values of a sound document.
 func (doc *Document) deployment() (*Deployment, error) {
 	text := func(path string) string { return doc.Values[path].Text }
@@ -100,7 +119,7 @@
 	}
 	d := &Deployment{Name: text("name"), Listen: text("listen"), Discovery: text("discovery"), Known: doc.Known, Document: doc,
 		Cores: number("limits.cores"), MemoryMB: int(number("limits.memory_mb")), Sockets: int(number("limits.sockets")),
-		SpoolMB: number("limits.disk_mb"), Learn: seconds("learned.every_s"), Retired: map[string]bool{},
+		SpoolMB: number("limits.disk_mb"), Learn: seconds("learned.every_s"), WatchTell: seconds("watch.every_s"), Retired: map[string]bool{},
 		Log: Log{Level: text("log.level"), Levels: map[string]string{}, JSON: text("log.format") == "json",
 			Repeats: seconds("log.repeats_s"), Queue: int(number("log.queue"))}}
 	for _, pair := range words("log.levels") {
@@ -150,6 +169,7 @@
 func (d *Deployment) Merged(next *Deployment) *Deployment {
 	m := *next
 	m.Name, m.Listen, m.Spool, m.Known, m.Learn = d.Name, d.Listen, d.Spool, d.Known, d.Learn
+	m.Watch, m.WatchTell = d.Watch, d.WatchTell
 	old, ch := d.Charter, next.Charter
 	m.Retired = map[string]bool{}
 	var from []int
--- a/config/schema.go
+++ b/config/schema.go
@@ -52,6 +52,8 @@
 	{Path: "limits.sockets", Kind: Number, Default: "1024", Low: 32, High: 1 << 20, Unit: "descriptors", Doc: "file descriptors that it may hold"},
 	{Path: "limits.disk_mb", Kind: Number, Default: "3", Low: 0.01, High: 1 << 20, Unit: "MB", Doc: "what the folder that lasts may hold"},
 	{Path: "learned.every_s", Kind: Number, Default: "1", High: 3600, Unit: "s", Restart: true, Doc: "how often at most what was learned is kept; 0: never"},
+	{Path: "watch.file", Kind: Text, Restart: true, Doc: "configuration whose settings are watched: decided by beside these, and never carried out"},
+	{Path: "watch.every_s", Kind: Number, Default: "10", Low: 0.1, High: 3600, Unit: "s", Restart: true, Doc: "how often the differences are logged"},
 	{Path: "log.level", Kind: Text, Default: "info", One: []string{"debug", "info", "warn", "error"}, Variable: "PINEPORT_LOG_LEVEL", Doc: "what is logged"},
 	{Path: "log.levels", Kind: Words, Doc: "levels of single components, such as spool=debug"},
 	{Path: "log.format", Kind: Text, Default: "text", One: []string{"text", "json"}, Variable: "PINEPORT_LOG_FORMAT", Restart: true, Doc: "form of a line"},
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -521,7 +521,7 @@
 		if rt.gap*4 <= rt.knee*5 && rt.gap*4 >= rt.knee*3 {
 			share = 16 // near where it was last refused: a quarter would be refused every third call
 		}
-		if rt.told && rt.left >= scarce {
+		if rt.told && rt.left >= scarce && e.Wait == 0 {
 			rt.gap = min(rt.gap, c.part(rt)) // plenty is left: what was refused before says nothing any more
 		}
 		if rt.gap = min(rt.gap, 4*gapCeiling) * (share - 1) / share; rt.gap < gapStep {
@@ -538,7 +538,11 @@
 		rt.servedSent = max(rt.servedSent, t.sent)
 	case Full:
 		c.refused[rt.dest.kind].add(c.now, rateOver, 1)
-		c.widen(rt, gapCeiling/2)
+		least := gapCeiling / 2
+		if rt.told && rt.left >= scarce && e.Wait == 0 {
+			least = 4 * gapCeiling // shut or hung: not over its limit, as plenty of that is left
+		}
+		c.widen(rt, least)
 		// Shut: told to wait longer than any limit asks for. What was parked would push it over.
 		if c.strike(rt, &rt.fulls, o); e.Wait > outageAfter {
 			c.sicken(rt)
@@ -662,8 +666,9 @@
 		gap = max(gap, Micros((1-left/scarce)*float64(c.part(rt))))
 	}
 	if rt.sick || rt.cold {
-		// Under the fall multiple, and not far over what it can do. One a second from all couriers always goes.
-		part := max(c.base(rt), c.own(rt)) * min(0.8*max(c.ch.FallMultiple, 1), 1.25)
+		// With what goes by lot this stays under the fall multiple, as capacity lies over the limit. One a second
+		// from all couriers always goes.
+		part := max(c.base(rt), c.own(rt)) * max(1, 0.7*c.ch.FallMultiple)
 		gap = max(gap, min(Micros(float64(second)/(part*warm)), Micros(max(2, c.ch.Couriers))*second))
 	}
 	return gap
--- a/logic/scenario_test.go
+++ b/logic/scenario_test.go
@@ -77,6 +77,7 @@
 	line, checks int
 	charter      Charter
 	courier      *Courier
+	watchers     watchers
 	lore         *Lore
 	now          Micros
 	batch        []Event
@@ -232,7 +233,7 @@
 		p.batch = append(p.batch, e)
 	case "restart": // all that was held is dropped; what was learned is kept for the line learned
 		lore := p.courier.Lore()
-		p.lore, p.courier, p.later, p.wakes = &lore, New(p.charter), nil, nil
+		p.lore, p.courier, p.later, p.wakes, p.watchers = &lore, New(p.charter), nil, nil, nil
 		for _, f := range p.records {
 			f.ended = true
 		}
@@ -310,7 +311,9 @@
 	if p.courier == nil {
 		p.courier = New(p.charter)
 	}
-	for _, action := range p.courier.Handle(p.now, events) {
+	actions := p.courier.Handle(p.now, events)
+	p.watchers.see(p, events, actions)
+	for _, action := range actions {
 		p.rules(action)
 		p.did = append(p.did, action)
 	}
--- a/logic/state.go
+++ b/logic/state.go
@@ -45,7 +45,9 @@
 	closeAt   Micros // this process ends
 	topPayoff float64
 	steepest  float64
-	late      []*route // called lately, in the order in which they first were
+	late      []*route  // called lately, in the order in which they first were
+	watched   bool      // by a Watcher, that takes back
+	gone      []*record // ended since it last looked
 }
 
 // blank is a courier that has seen nothing.
@@ -96,6 +98,7 @@
 	lot     float64 // its place among the records of all couriers
 	loss    float64 // by waiting a second longer
 	line    *keyLine
+	place   int // where it stood there when it left
 	trips   []*trip
 	out     int // trips without an outcome
 	refused int // trips turned away unseen
@@ -182,7 +185,6 @@
 	left       float64 // share of the limit, as last reported
 	told       bool    // rate and left come from reports
 	toldAt     Micros
-	crowd      tally   // refusals at all couriers, as far as heard
 	usual      float64 // calls a second before the outage
 	rate       float64 // listed or reported calls a second from all couriers; 0 unknown
 	late       bool    // called lately: see Courier.late
@@ -260,6 +262,9 @@
 		return
 	}
 	r.ended = true
+	if c.watched {
+		c.gone = append(c.gone, r)
+	}
 	c.held--
 	c.unqueue(r)
 	c.forget(r)
@@ -310,7 +315,7 @@
 func (l *keyLine) leave(r *record) {
 	if l != nil {
 		if i := slices.Index(l.records, r); i >= 0 {
-			l.records = slices.Delete(l.records, i, i+1)
+			r.place, l.records = i, slices.Delete(l.records, i, i+1)
 		}
 	}
 }
--- a/routing/reload.go
+++ b/routing/reload.go
@@ -30,6 +30,7 @@
 	}
 	if !old.SameDecisions(merged) {
 		r.events = append(r.events, logic.Rechartered{Charter: merged.Charter})
+		r.watch.recharter(r)
 	}
 	for name := range merged.Retired { // the decisions need not hear of it: they end what is held, and get no more
 		if !old.Retired[name] {
--- a/routing/router.go
+++ b/routing/router.go
@@ -84,6 +84,7 @@
 	platform platform
 	strange  strange
 	lore     lore
+	watch    watch
 	reloaded func(*config.Deployment) // told of each configuration taken over
 	endBy    logic.Micros
 	leaving  bool
@@ -99,6 +100,7 @@
 	r.now = r.baseUnix
 	r.begin = func() decider { return logic.New(r.dep.Charter) }
 	r.courier = r.begin()
+	r.watch.start(r)
 	r.links.init(r)
 	r.clients.init(r)
 	r.platform.init(r)
@@ -147,6 +149,7 @@
 		if r.done() {
 			r.log.Info("ended", "held", len(r.records))
 			r.partLore()
+			r.watch.tell(r.log)
 			return r.spool.Close()
 		}
 	}
@@ -326,6 +329,7 @@
 	}()
 	actions = r.courier.Handle(r.now, events)
 	r.failed = 0
+	r.watch.see(r, events, actions)
 	return actions
 }
 
@@ -337,6 +341,7 @@
 		r.drop(t.call)
 	}
 	r.events, r.courier, r.wakeAt = nil, r.begin(), never
+	r.watch.start(r)
 	held := make([]*record, 0, len(r.records))
 	for _, rec := range r.records {
 		held = append(held, rec)
