--- a/learned/file.go
+++ b/learned/file.go
@@ -169,7 +169,7 @@
 		}
 		return true
 	}
-	if !sums(l.Took) || !sums(l.Broke...) || !sums(l.Crowd...) {
+	if !sums(l.Took) || !sums(l.Broke...) {
 		return fmt.Errorf("%w: sums", ErrSense)
 	}
 	for _, r := range l.Routes {
--- a/learned/learned_test.go
+++ b/learned/learned_test.go
@@ -47,7 +47,7 @@
 }
 
 func state(t *rapid.T) State {
-	l := logic.Lore{At: at, Took: sums(t, 1)[0], Broke: sums(t, 10), Crowd: sums(t, 2)}
+	l := logic.Lore{At: at, Took: sums(t, 1)[0], Broke: sums(t, 10)}
 	for i := range rapid.IntRange(0, 30).Draw(t, "routes") {
 		l.Routes = append(l.Routes, logic.RouteLore{Dest: logic.DestID(i), Endpoint: logic.EndpointID(rapid.StringN(0, 20, -1).Draw(t, "endpoint")),
 			Took: sums(t, 1)[0], Done: sums(t, 1)[0], Since: ago(t, "since"), LastCall: ago(t, "call"), LastDone: ago(t, "done"),
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -310,11 +310,8 @@
 
 // fee puts an endpoint that costs more behind a cheaper one in rank.
 func (c *Courier) fee(ep *endpoint) (fee float64) {
-	if ep.Zone != c.ch.Zone {
-		fee = c.ch.CrossFee
-	}
 	if ep.dest.shape.Apart && int(ep.Zone) < len(c.ch.RouteFee) {
-		fee += c.ch.RouteFee[ep.Zone]
+		fee = c.ch.RouteFee[ep.Zone]
 	}
 	return fee
 }
@@ -377,7 +374,6 @@
 	}
 	c.took = l.Took.tally(l.At)
 	sums(c.broke[:], l.Broke, l.At)
-	sums(c.crowd, l.Crowd, l.At)
 	for _, r := range l.Routes {
 		rt := c.routeOf(r)
 		if rt == nil {
@@ -455,10 +451,7 @@
 		return
 	}
 	t, ep, o := r.trips[e.Trip], r.trips[e.Trip].at, e.Outcome
-	if c.endTrip(t, e); ep.calls == 0 && c.closes(ep) {
-		ep.idleSince = 0
-		c.do(CloseIdle{ep.Endpoint})
-	}
+	c.endTrip(t, e)
 	c.learn(e, t)
 	r.last = ep
 	c.ran(r, o, t.sent, ep.Zone)
@@ -486,15 +479,6 @@
 	}
 }
 
-// closes tells whether idle connections crowd a table (the smallest take six): one trip in a hundred found
-// none.
-func (c *Courier) closes(ep *endpoint) bool {
-	calls := ep.sent.fade(c.now, rateOver).weight / c.span(ep.route) // a microsecond
-	idle := min(1, calls*float64(c.ch.IdleAfter)) - 1.5*calls*float64(c.mean(ep.route))
-	crowd := c.crowd[ep.dest.kind]
-	return crowd.sum > 0.01*(crowd.weight+5) && float64(c.ch.Couriers)*idle > 4
-}
-
 // learn takes in what an outcome tells of its route.
 func (c *Courier) learn(e Settled, t *trip) {
 	ep, rt, o := t.at, t.at.route, e.Outcome
@@ -506,17 +490,12 @@
 	}
 	// A full connection table looks like an outage of one trip, while others are answered.
 	hollow := o == Unreachable && ep.heard > t.sent
-	crowd := &c.crowd[ep.dest.kind]
-	if o == Unreachable {
-		crowd.add(c.now, rateOver, 1)
-	}
 	switch o {
 	case Done:
 		rt.took.add(c.now, tookOver, float64(e.Took))
 		c.took.add(c.now, tookOver, float64(e.Took))
 		rt.done.add(c.now, rateOver, 1)
 		c.refused[rt.dest.kind].add(c.now, rateOver, 0)
-		crowd.add(c.now, rateOver, 0)
 		share := Micros(4)
 		if rt.gap*4 <= rt.knee*5 && rt.gap*4 >= rt.knee*3 {
 			share = 16 // near where it was last refused: a quarter would be refused every third call
--- a/logic/lore.go
+++ b/logic/lore.go
@@ -13,7 +13,6 @@
 	At        Micros // when it was so
 	Took      Sum    // answer times everywhere
 	Broke     []Sum  // calls that broke or got lost, by how long their connection had rested
-	Crowd     []Sum  // signs of full connection tables, by shape
 	Routes    []RouteLore
 	Endpoints []EndpointLore
 }
@@ -90,9 +89,6 @@
 	for i := range c.broke {
 		l.Broke = append(l.Broke, sum(&c.broke[i], rateOver))
 	}
-	for i := range c.crowd {
-		l.Crowd = append(l.Crowd, sum(&c.crowd[i], rateOver))
-	}
 	c.forgetLate()
 	for _, rt := range c.late {
 		r := RouteLore{Dest: rt.dest.id, Took: sum(&rt.took, tookOver), Done: sum(&rt.done, rateOver), Since: rt.since,
--- a/logic/lore_test.go
+++ b/logic/lore_test.go
@@ -110,7 +110,7 @@
 // TestLoreOfStrangers: lore about what the list does not have, or has otherwise, or of other workloads, changes nothing.
 func TestLoreOfStrangers(t *testing.T) {
 	c := New(charterOfOne())
-	c.Handle(100*second, []Event{listOfThree(), Learned{Lore{At: 99 * second, Broke: make([]Sum, 99), Crowd: make([]Sum, 99),
+	c.Handle(100*second, []Event{listOfThree(), Learned{Lore{At: 99 * second, Broke: make([]Sum, 99),
 		Routes: []RouteLore{{Dest: 9, Sick: true}, {Dest: 1, Endpoint: "a", Sick: true}, {Dest: 2, Endpoint: "zz", Sick: true}},
 		Endpoints: []EndpointLore{{Endpoint: "zz", Runs: []RunLore{{5, 900 * second}}}, {Endpoint: "a", Runs: []RunLore{{5, 900 * second}}},
 			{Endpoint: "b"}}}}})
--- a/logic/state.go
+++ b/logic/state.go
@@ -37,7 +37,6 @@
 	took      tally      // answer times everywhere
 	broke     [10]tally  // calls that broke or got lost, by how long their connection had rested; first the new ones
 	refused   []tally    // calls refused of those answered, by shape
-	crowd     []tally    // signs of full connection tables, by shape
 	lookAt    Micros     // when something held may next be done
 	wakeAt    Micros     // the earliest wake-up asked for
 	askAt     Micros
@@ -60,7 +59,6 @@
 		endpoints: map[EndpointID]*endpoint{},
 		keys:      map[Key]*keyLine{},
 		parties:   make([]tally, len(ch.Parties)),
-		crowd:     make([]tally, len(ch.Shapes)+1),
 		refused:   make([]tally, len(ch.Shapes)+1),
 		wakeAt:    never,
 	}
@@ -83,8 +81,7 @@
 			}
 		}
 	}
-	c.parties, c.crowd = grown(c.parties, len(c.ch.Parties)), grown(c.crowd, len(c.ch.Shapes)+1)
-	c.refused = grown(c.refused, len(c.ch.Shapes)+1)
+	c.parties, c.refused = grown(c.parties, len(c.ch.Parties)), grown(c.refused, len(c.ch.Shapes)+1)
 }
 
 type record struct {
@@ -146,7 +143,6 @@
 	route     *route
 	hash      uint64
 	calls     int
-	sent      tally  // calls
 	heard     Micros // last answer
 	idleSince Micros // when a call there last ended and left its connection; 0 if none can rest
 	run              // of failures in all
@@ -387,7 +383,6 @@
 	ep.dest.calls++
 	ep.route.lastCall = c.now
 	c.lately(ep.route)
-	ep.sent.add(c.now, rateOver, 1)
 	return cl
 }
 
--- a/logic/watch.go
+++ b/logic/watch.go
@@ -236,8 +236,6 @@
 		c.calls--
 		t.at.calls--
 		t.at.dest.calls--
-		t.at.sent.weight--
-		t.at.sent.sum--
 	}
 	if !r.queued {
 		c.enqueue(r)
