--- a/logic/logic.go
+++ b/logic/logic.go
@@ -405,11 +405,11 @@
 }
 
 // strike counts signs of an outage: three in a row with nothing served for a while, two where calls are rare.
-// A refusal may tell of a listed limit: three; where a report tells that it is used up, it begins no cold
-// ramp.
-func (c *Courier) strike(rt *route, signs *int, o Outcome) {
+// A refusal may tell of a limit, unless it is known to be none: three; where a report tells that it is used up,
+// it begins no cold ramp.
+func (c *Courier) strike(rt *route, signs *int, o Outcome, shut bool) {
 	few := 3
-	if c.base(rt) < rare && (o != Full || rt.rate == 0) {
+	if c.base(rt) < rare && (o != Full || rt.rate == 0 || shut) {
 		if few = 2; o == Full {
 			few = 1 // all that most couriers like this one will see of it
 		}
@@ -517,13 +517,13 @@
 		rt.servedSent = max(rt.servedSent, t.sent)
 	case Full:
 		c.refused[rt.dest.kind].add(c.now, rateOver, 1)
-		least := gapCeiling / 2
-		if rt.told && rt.left >= scarce && e.Wait == 0 {
-			least = 4 * gapCeiling // shut or hung: not over its limit, as plenty of that is left
+		least, shut := gapCeiling/2, rt.told && rt.left >= scarce && e.Wait == 0
+		if shut { // or hung: not over its limit, as plenty of that is left
+			least = 4 * gapCeiling
 		}
 		c.widen(rt, least)
 		// Shut: told to wait longer than any limit asks for. What was parked would push it over.
-		if c.strike(rt, &rt.fulls, o); e.Wait > outageAfter {
+		if c.strike(rt, &rt.fulls, o, shut); e.Wait > outageAfter {
 			c.sicken(rt)
 		}
 	case Failure, Broken, TimedOut, Unreachable:
@@ -535,13 +535,13 @@
 			break // what was sent later was served: that call was lost, not the destination
 		}
 		if o != Broken { // a reset tells that the destination is there
-			c.strike(rt, &rt.strikes, o)
+			c.strike(rt, &rt.strikes, o, false)
 		}
 		if o == TimedOut {
 			rt.took.add(c.now, tookOver, float64(e.Took))
 		}
 		some := rt.dest.shape.Apart || rt.strikes >= len(rt.dest.endpoints)
-		if some && c.base(rt) < rare && (o == Unreachable || o == Failure) { // else it may be this one answer
+		if some && c.base(rt) < rare && o == Unreachable { // else it may be this one answer
 			c.widen(rt, 4*gapCeiling) // so few calls that six failures in a row come too late
 		}
 		for _, n := range []*run{&ep.run, &ep.runs[t.rec.class]} { // one workload may fail where others do not
