--- a/cmd/pineport/config.go
+++ b/cmd/pineport/config.go
@@ -86,7 +86,7 @@
 		},
 	}
 	f.add(cmd)
-	cmd.Flags().BoolVar(&strict, "strict", false, "unknown keys are faults")
+	cmd.Flags().BoolVar(&strict, "strict", false, "unknown keys, and settings that come to nothing beside others, are faults")
 	cmd.Flags().StringVar(&against, "against", "", "the file that a running courier has: tell what a reload would do")
 	cmd.Flags().StringVar(&output, "output", "table", "table or json")
 	return cmd
--- a/cmd/pineport/run.go
+++ b/cmd/pineport/run.go
@@ -101,7 +101,7 @@
 // warn names the keys that nobody reads.
 func warn(log *slog.Logger, dep *config.Deployment) {
 	for _, w := range dep.Document.Warnings {
-		log.Warn("unknown key", "key", w.Key, "line", w.Line, "hint", w.Expected)
+		log.Warn("doubtful key", "key", w.Key, "line", w.Line, "hint", w.Expected)
 	}
 }
 
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -216,3 +216,21 @@
 		t.Errorf("docs/configuration.md is stale: go run ./cmd/pineport config page > docs/configuration.md (%v)", err)
 	}
 }
+
+// TestContradictionsAreTold: settings that come to nothing beside others are warned of, each with its line.
+func TestContradictionsAreTold(t *testing.T) {
+	text := "name = \"n\"\nlisten = \"127.0.0.1:1\"\ndiscovery = \"127.0.0.1:2\"\nseed = \"a\"\n[settings]\ntick-s = 0.01\n" +
+		"[settings.family-info]\nslots = 3\n[settings.ceilings]\nopen-cap = 9\ntry-limit = 6\nconn-idle-s = 5\nretry-after = true\n" +
+		"[settings.rules]\nkey-rest-s = 0.1\n[[settings.classes]]\nname = \"a\"\nslo-s = 1\ndeadline-s = 9\nidempotency = \"guarded\"\n"
+	for extra, want := range map[string]int{
+		"": 3, "in-order = true\n": 2, "in-order = true\ndedup-window-s = 4\n": 1,
+	} {
+		d, err := parseDocument("c.toml", []byte(text+extra), Sources{Getenv: func(string) string { return "" }})
+		if err != nil || d.Err() != nil {
+			t.Fatal(err, d.Err())
+		}
+		if len(d.Warnings) != want || d.Warnings[len(d.Warnings)-1].Line == 0 {
+			t.Errorf("%q: %v", extra, d.Warnings)
+		}
+	}
+}
--- a/config/document.go
+++ b/config/document.go
@@ -25,7 +25,7 @@
 	Values   map[string]Value // by path, lists numbered from 0
 	Known    json.RawMessage  // the list of endpoints
 	Faults   []Fault          // what must be put right
-	Warnings []Fault          // what is unknown
+	Warnings []Fault          // what is unknown, or comes to nothing
 }
 
 // Sources are where a configuration comes from.
@@ -160,6 +160,32 @@
 	if d.count("settings.classes") == 0 && !slices.ContainsFunc(d.Faults, func(f Fault) bool { return strings.HasPrefix("settings.classes", f.Key) }) {
 		d.fault("settings.classes", lines["settings.classes"], "at least one was expected")
 	}
+	d.contradictions()
+}
+
+// contradictions warns of settings that are sound by themselves and come to nothing beside others.
+func (d *Document) contradictions() {
+	text := func(path string) string { return d.Values[path].Text }
+	on := func(path string) bool { return text(path) == "true" || text(path) == "1" }
+	over := func(path string) bool {
+		n, err := strconv.ParseFloat(text(path), 64)
+		return err == nil && n > 0
+	}
+	doubt := func(path, expected string) {
+		d.Warnings = append(d.Warnings, Fault{d.File, d.Values[path].Line, path, expected})
+	}
+	const rest, advice = "settings.rules.key-rest-s", "settings.ceilings.retry-after"
+	if over(rest) && !slices.ContainsFunc(d.Paths("settings.classes[].in-order"), on) {
+		doubt(rest, "a workload in order was expected, as keys rest for no other")
+	}
+	if on(advice) && !over("settings.ceilings.max-retry-after-s") {
+		doubt(advice, "max-retry-after-s over 0 was expected, or no advice is heeded")
+	}
+	for _, path := range d.Paths("settings.classes[].idempotency") {
+		if text(path) == "guarded" && !over(strings.TrimSuffix(path, "idempotency")+"dedup-window-s") {
+			doubt(path, "dedup-window-s over 0 was expected, or no repeat is known")
+		}
+	}
 }
 
 func from(v Value) string {
--- a/config/page.go
+++ b/config/page.go
@@ -33,7 +33,7 @@
 		fmt.Fprintf(&b, "| `%s` | %s | %s | %s | %s | %s |\n", k.Path, doc, k.Unit, k.Expects(), missing, effect(k, "old", "new"))
 	}
 	b.WriteString("\nKeys of the platform that nothing here reads are passed over; any other unknown key is warned of, with the nearest known one,\n" +
-		"and with `--strict` a fault.\n")
+		"and so are settings that come to nothing beside others; with `--strict` both are faults.\n")
 	_, err := io.WriteString(w, b.String())
 	return err
 }
