Gaps are stretched fourfold at most, and not made nought where nothing is lost by waiting

Cause, found on rereading the move's change: gaps are stretched by what the steepest workload loses by waiting over what this one does (opens). Where no workload loses anything the ratio was 0 over a floor, so every gap became nought and refused records went again at once; where one loses nothing beside others its gaps grew some eightyfold and it was held to its cut-off. Change: between once and fourfold. Scenarios nothing-lost-by-waiting and little-lost-by-waiting fail without it.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -405,8 +405,8 @@
 }
 
 // strike counts signs of an outage: three in a row with nothing served for a while, two where calls are rare.
-// A refusal may tell of a limit, unless it is known to be none: three; where a report tells that it is used up,
-// it begins no cold ramp.
+// A refusal may tell of a limit, unless it is known to be none: three; where a report tells that it is used
+// up, it begins no cold ramp.
 func (c *Courier) strike(rt *route, signs *int, o Outcome, shut bool) {
 	few := 3
 	if c.base(rt) < rare && (o != Full || rt.rate == 0 || shut) {
@@ -807,7 +807,8 @@
 	if !rt.sick && !rt.cold && c.base(rt) < 4*rare {
 		// One queue cannot sort what waits at many couriers: the gap decides who goes first, what loses most by
 		// waiting.
-		gap = Micros(float64(gap) * math.Cbrt(c.steepest/max(c.steep(r.work), 1e-12)))
+		// Fourfold at most, or what loses nothing by waiting would never go.
+		gap = Micros(float64(gap) * min(4, max(1, math.Cbrt(c.steepest/max(c.steep(r.work), 1e-12)))))
 	}
 	// All who were told when a shut destination opens would be there at that instant: each draws a lot.
 	at := rt.waitTo + Micros(rt.lot*float64(gap))
--- a/logic/scenario_test.go
+++ b/logic/scenario_test.go
@@ -169,7 +169,7 @@
 		}
 	case "workload":
 		kind := map[string]Repeat{"replayable": Replayable, "referenced": Referenced, "single-use": SingleUse}[w[1]]
-		p.charter.Workloads = append(p.charter.Workloads, Workload{Repeat: kind, LatePart: 0.5,
+		p.charter.Workloads = append(p.charter.Workloads, Workload{Repeat: kind, LatePart: p.number(opt("late", "0.5")),
 			Quoted: p.span(opt("quoted", "1s")), Life: p.span(opt("life", "20s")),
 			Payoff: p.number(opt("payoff", "1")), Window: p.span(opt("window", "5s")),
 			OneZone: has("onezone"), InOrder: has("ordered")})
