--- a/routing/router.go
+++ b/routing/router.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"context"
 	"fmt"
 	"log/slog"
 	"maps"
@@ -16,6 +17,7 @@
 	"pineport/config"
 	"pineport/handover"
 	"pineport/logic"
+	"pineport/logs"
 	"pineport/protocol"
 	"pineport/spool"
 	"pineport/transport"
@@ -63,6 +65,7 @@
 type Router struct {
 	dep     *config.Deployment
 	log     *slog.Logger
+	tracer  *slog.Logger // the decisions, for a replay
 	courier decider
 	begin   func() decider
 	failed  int // how often in a row the decisions did
@@ -103,6 +106,7 @@
 	r := &Router{dep: dep, log: log, spool: sp, inbox: make(chan any, inboxSize), door: make(chan any, doorSize),
 		base: time.Now(), wakeAt: never, endBy: never, partAt: never, records: map[logic.RecordID]*record{},
 		hosts: map[logic.EndpointID]protocol.Host{}, waits: map[string]logic.Micros{}, dests: map[int]logic.Micros{}}
+	r.tracer = log.With(logs.Component, "decisions")
 	r.baseUnix = logic.Micros(r.base.UnixMicro())
 	r.now = r.baseUnix
 	r.begin = func() decider { return logic.New(r.dep.Charter) }
@@ -393,11 +397,45 @@
 		}
 	}()
 	actions = r.courier.Handle(r.now, events)
+	r.trace(events, actions)
 	r.failed = 0
 	r.watch.see(r, events, actions)
 	return actions
 }
 
+// trace writes what the decisions were told and what they did, at debug level of the component decisions: a
+// replay of a day counts them across the fleet. Off, it costs one check a turn.
+func (r *Router) trace(events []logic.Event, actions []logic.Action) {
+	if !r.tracer.Enabled(context.Background(), slog.LevelDebug) {
+		return
+	}
+	for _, event := range events {
+		switch e := event.(type) {
+		case logic.Taken:
+			r.tracer.Debug("taken", "record", e.Record, "dest", e.Dest, "workload", e.Workload)
+		case logic.Settled:
+			r.tracer.Debug("settled", "record", e.Record, "trip", e.Trip, "outcome", e.Outcome, "took", e.Took,
+				"wait", e.Wait, "pressure", e.Pressure)
+		case logic.ListNews:
+			r.tracer.Debug("list", "how", e.How, "entries", len(e.Entries))
+		}
+	}
+	for _, action := range actions {
+		switch a := action.(type) {
+		case logic.Send:
+			r.tracer.Debug("send", "record", a.Record, "endpoint", a.Endpoint, "limit", a.Limit)
+		case logic.Cancel:
+			r.tracer.Debug("cancel", "record", a.Record, "trip", a.Trip)
+		case logic.Bounce:
+			r.tracer.Debug("bounce", "record", a.Record, "pause", a.Pause)
+		case logic.Terminate:
+			r.tracer.Debug("terminate", "record", a.Record)
+		case logic.Watch:
+			r.tracer.Debug("watch")
+		}
+	}
+}
+
 // renew hands all that is held to decisions that know nothing yet, and nothing of what the failed ones had learned. Where they fail again over that, it is ended,
 // so that one record cannot stop all others for ever.
 func (r *Router) renew() {
