--- a/logic/logic.go
+++ b/logic/logic.go
@@ -198,7 +198,8 @@
 	return at
 }
 
-// mayGoAgain: by rules and by payoff, up to all the charter's trips; those turned away unseen cost little.
+// mayGoAgain: by the rules, and by payoff, up to all of the charter's trips; those turned away unseen cost
+// little.
 func (c *Courier) mayGoAgain(r *record) bool {
 	more := float64(c.ch.MaxTrips-1) * r.payoff / max(c.topPayoff, 1e-9)
 	return len(r.trips) < c.ch.MaxTrips && len(r.trips)-r.refused < max(2, 1+int(math.Ceil(more))) &&
@@ -280,8 +281,7 @@
 		}
 		ep.Listing = l
 		if c.ch.Rates != NoRates && l.Rate > 0 && !ep.route.told {
-			ep.rate = l.Rate
-			c.sumRates(ep.route)
+			ep.route.rate = l.Rate
 		}
 	}
 	c.prune(idleAfter)
@@ -517,8 +517,7 @@
 func (c *Courier) learn(e Settled, t *trip) {
 	ep, rt, o := t.at, t.at.route, e.Outcome
 	if l, r := c.ch.LeftAt, c.ch.RateAt; min(l, r) >= 0 && len(e.Pressure) > max(l, r) && e.Pressure[r] > 0 {
-		ep.rate, rt.left, rt.told, rt.toldAt = e.Pressure[r], e.Pressure[l], true, c.now
-		c.sumRates(rt)
+		rt.rate, rt.left, rt.told, rt.toldAt = e.Pressure[r], e.Pressure[l], true, c.now
 	}
 	if e.Wait > 0 { // told with whatever outcome: an answer for several holds one beside what was done
 		rt.waitTo, rt.lot = max(rt.waitTo, c.now+e.Wait+c.ch.Tick), c.rng.Float64()
@@ -601,17 +600,6 @@
 	rateOver   = 30 * second // what a destination takes from this courier is judged over a day's part
 )
 
-// sumRates: limits are each endpoint's, as reports tell, so a route of several carries the sum of theirs.
-func (c *Courier) sumRates(rt *route) {
-	sum := 0.0
-	for _, ep := range rt.dest.endpoints {
-		if ep.route == rt && ep.Phase == In {
-			sum += ep.rate
-		}
-	}
-	rt.rate = cmp.Or(sum, rt.rate)
-}
-
 // left is the share of a limit that is left. Where calls are rare the last report is old: limits are counted
 // over a second or two, so room came back meanwhile, unless many are refused at destinations of the kind: one
 // in seven, and they all use up the limit.
@@ -725,7 +713,8 @@
 	}
 }
 
-// reclaim calls off the most overdue; nine in ten take under 3 means and a bit. Hurts if all slow at once.
+// reclaim calls off the most overdue; nine in ten take under 3 means and a bit. Hurts if all turn slow at
+// once.
 func (c *Courier) reclaim(most float64) {
 	var worst *trip
 	for _, t := range c.flying {
@@ -852,7 +841,8 @@
 	}
 	if !rt.sick && !rt.cold && c.base(rt) < 4*rare {
 		// One queue cannot sort what waits at many couriers: the gap decides who goes first, what loses most by
-		// waiting. Fourfold at most, or what loses nothing by waiting would never go.
+		// waiting.
+		// Fourfold at most, or what loses nothing by waiting would never go.
 		gap = Micros(float64(gap) * min(4, max(1, math.Cbrt(c.steepest/max(c.steep(r.work), 1e-12)))))
 	}
 	// All who were told when a shut destination opens would be there at that instant: each draws a lot.
--- a/logic/state.go
+++ b/logic/state.go
@@ -148,10 +148,9 @@
 	heard     Micros // last answer
 	idleSince Micros // when a call there last ended and left its connection; 0 if none can rest
 	lastCall  Micros
-	coldTo    Micros  // put back by people: warm from then on
-	rate      float64 // listed or reported calls a second from all couriers; its own limit
-	run               // of failures in all
-	runs      []run   // and by workload
+	coldTo    Micros // put back by people: warm from then on
+	run              // of failures in all
+	runs      []run  // and by workload
 }
 
 // run is how often in a row trips to an endpoint failed, and how long it rests for that.
