--- a/logic/logic.go
+++ b/logic/logic.go
@@ -846,7 +846,7 @@
 		gap = Micros(float64(gap) * min(4, max(1, math.Cbrt(c.steepest/max(c.steep(r.work), 1e-12)))))
 	}
 	// All who were told when a shut destination opens would be there at that instant: each draws a lot.
-	at := rt.waitTo + Micros(rt.lot*float64(max(gap, c.part(rt))))
+	at := rt.waitTo + Micros(rt.lot*float64(gap))
 	// A courier that calls rarely can keep no pace: of its new records a part goes at once, by lot.
 	won := len(r.trips) == 0 && r.lot < 0.4*c.ch.FallMultiple*c.warmth(rt)
 	if won && (rt.sick || rt.cold) && c.base(rt) < rare {
