--- a/logic/logic.go
+++ b/logic/logic.go
@@ -596,7 +596,7 @@
 const (
 	gapStep    = 10 * millisecond // DESIGN's starting values
 	gapCeiling = second
-	scarce     = 0.6         // of an allowance left: reports are late by some calls and noisy by a seventh
+	scarce     = 0.3         // of an allowance left: reports are late by some calls and noisy by a seventh
 	rateOver   = 30 * second // what a destination takes from this courier is judged over a day's part
 )
 
