--- /dev/null
+++ b/routing/trace_test.go
@@ -0,0 +1,38 @@
+package routing
+
+import (
+	"bytes"
+	"log/slog"
+	"strings"
+	"testing"
+
+	"pineport/logic"
+)
+
+// The trace of the decisions tells what they were told and did, a line each, at debug level; above it, nothing.
+func TestTraceOfDecisions(t *testing.T) {
+	events := []logic.Event{logic.Taken{Record: "r7", Dest: 2}, logic.Settled{Record: "r7", Outcome: logic.Full, Wait: 500}}
+	actions := []logic.Action{logic.Send{Record: "r7", Endpoint: "s-1", Limit: 900}, logic.Bounce{Record: "r7", Pause: 40}}
+	for _, level := range []slog.Level{slog.LevelDebug, slog.LevelInfo} {
+		var b bytes.Buffer
+		r := &Router{tracer: slog.New(slog.NewTextHandler(&b, &slog.HandlerOptions{Level: level}))}
+		r.trace(events, actions)
+		lines := strings.Split(strings.TrimSpace(b.String()), "\n")
+		if level == slog.LevelInfo {
+			if b.Len() > 0 {
+				t.Fatalf("traced above debug level: %q", b.String())
+			}
+			continue
+		}
+		want := []string{"msg=taken record=r7 dest=2", "msg=settled record=r7 trip=0 outcome=2 took=0 wait=500",
+			"msg=send record=r7 endpoint=s-1 limit=900", "msg=bounce record=r7 pause=40"}
+		if len(lines) != len(want) {
+			t.Fatalf("%d lines, not %d: %q", len(lines), len(want), lines)
+		}
+		for i, w := range want {
+			if !strings.Contains(lines[i], w) {
+				t.Errorf("line %d lacks %q: %q", i, w, lines[i])
+			}
+		}
+	}
+}
