--- a/logic/logic.go
+++ b/logic/logic.go
@@ -494,8 +494,8 @@
 	}
 	switch c.forget(r); {
 	case r.ended || r.out > 0:
-	case c.mayGoAgain(r) && !(o == Full && r.mayBounce() && c.ch.Couriers > 1 && c.left(ep.route) < scarce):
-		c.enqueue(r) // refused, a limit used up by many: another call now uses up more of it for all
+	case c.mayGoAgain(r):
+		c.enqueue(r)
 	default:
 		c.giveUp(r)
 	}
