--- a/logic/logic.go
+++ b/logic/logic.go
@@ -551,12 +551,6 @@
 		rt.servedSent = max(rt.servedSent, t.sent)
 	case Full:
 		c.refused[rt.dest.kind].add(c.now, rateOver, 1)
-		if c.ch.LeftAt >= 0 && len(e.Pressure) == 0 && e.Wait == 0 {
-			// Takes nothing and tells nothing: draining, while the list may tell it late. It rests; siblings go on.
-			ep.run.fails++
-			ep.run.restTo = c.now + min(8*second, second<<min(ep.run.fails, 4))
-			break
-		}
 		least, shut := gapCeiling/2, rt.told && rt.left >= scarce && e.Wait == 0
 		if shut { // or hung: not over its limit, as plenty of that is left
 			least = 4 * gapCeiling
--- a/routing/router.go
+++ b/routing/router.go
@@ -107,8 +107,6 @@
 		base: time.Now(), wakeAt: never, endBy: never, partAt: never, records: map[logic.RecordID]*record{},
 		hosts: map[logic.EndpointID]protocol.Host{}, waits: map[string]logic.Micros{}, dests: map[int]logic.Micros{}}
 	r.tracer = log.With(logs.Component, "decisions")
-	r.tracer.Debug("charter", "couriers", dep.Charter.Couriers, "slots", dep.Charter.Slots, "hold", dep.Charter.Hold,
-		"trips", dep.Charter.MaxTrips)
 	r.baseUnix = logic.Micros(r.base.UnixMicro())
 	r.now = r.baseUnix
 	r.begin = func() decider { return logic.New(r.dep.Charter) }
