--- a/config/config.go
+++ b/config/config.go
@@ -2,7 +2,6 @@
 package config
 
 import (
-	"cmp"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -120,7 +119,7 @@
 		}
 		return strings.Split(text(path), ",")
 	}
-	d := &Deployment{Name: text("name"), Listen: text("listen"), Ops: cmp.Or(text("ops"), text("admin")), Socket: int(number("socket_fd")), Discovery: text("discovery"), Known: doc.Known, Document: doc,
+	d := &Deployment{Name: text("name"), Listen: text("listen"), Ops: text("ops"), Socket: int(number("socket_fd")), Discovery: text("discovery"), Known: doc.Known, Document: doc,
 		Cores: number("limits.cores"), MemoryMB: int(number("limits.memory_mb")), Sockets: int(number("limits.sockets")),
 		SpoolMB: number("limits.disk_mb"), Learn: seconds("learned.every_s"), WatchTell: seconds("watch.every_s"), Retired: map[string]bool{},
 		Log: Log{Level: text("log.level"), Levels: map[string]string{}, JSON: text("log.format") == "json",
--- a/config/schema.go
+++ b/config/schema.go
@@ -46,7 +46,6 @@
 	{Path: "listen", Kind: Address, Needed: true, Variable: "RELAY_LISTEN", Restart: true, Doc: "where clients connect"},
 	{Path: "discovery", Kind: Address, Needed: true, Variable: "RELAY_DISCOVERY", Doc: "where discovery and the platform are; a reload takes it from the file alone"},
 	{Path: "ops", Kind: Address, Variable: "RELAY_OPS", Restart: true, Doc: "where operators call; absent: nowhere"},
-	{Path: "admin", Kind: Address, Restart: true, Doc: "where operators call, as some platforms name it; ops goes before it"},
 	{Path: "socket_fd", Kind: Count, High: 1 << 20, Variable: "RELAY_SOCKET_FD", Restart: true, Doc: "descriptor of a listening socket that was inherited, in place of listening on listen; absent: none"},
 	{Path: "seed", Kind: Hex, Needed: true, Restart: true, Doc: "seed of chance; new with each start"},
 	{Path: "known", Kind: Any, Doc: "the list of endpoints as held last, in discovery's form"},
