The hold reaches this courier's whole part of a reported limit at a third left

Cause: as before, reports come late to all couriers at once; with the hold that grows from all left down a courier still went on at more than its part between a third left and none, and the fleet with it. Change: the hold is one and a half times what is used up, at most the whole part. Scenario a-third-left-among-many fails without it (8 sends where 6 at most are wanted).

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -680,7 +680,7 @@
 	}
 	if left := c.left(rt); left < from {
 		// A limit that is nearly used up, or has shrunk: keep to this courier's part of it.
-		gap = max(gap, Micros((1-left/from)*float64(c.part(rt))))
+		gap = max(gap, Micros(min(1, 1.5*(1-left/from))*float64(c.part(rt))))
 	}
 	if rt.sick || rt.cold {
 		// With what goes by lot this stays under the fall multiple, as capacity lies over the limit. One a second
