--- a/logic/logic.go
+++ b/logic/logic.go
@@ -674,13 +674,9 @@
 // spacing is the least time between two calls on a route.
 func (c *Courier) spacing(rt *route) Micros {
 	gap, warm := rt.gap, c.warmth(rt)
-	from := scarce
-	if c.base(rt) >= rare {
-		from = 1 // reports come late to all couriers at once: the less is left, the nearer to its part (fleet days)
-	}
-	if left := c.left(rt); left < from {
+	if left := c.left(rt); left < scarce {
 		// A limit that is nearly used up, or has shrunk: keep to this courier's part of it.
-		gap = max(gap, Micros(min(1, 1.5*(1-left/from))*float64(c.part(rt))))
+		gap = max(gap, Micros((1-left/scarce)*float64(c.part(rt))))
 	}
 	if rt.sick || rt.cold {
 		// With what goes by lot this stays under the fall multiple, as capacity lies over the limit. One a second
