Idle connections that crowd others out are closed again, outages left out; crossing ranks

A refusal by a table takes as long as one of a process that is down (medians 12 ms and 12 ms in the same hall, 64 and 64 ms across), so time tells nothing. Silence and routes known to be sick are not counted, unlike before. Locality and the price of crossing are read again and rank the own hall first.

--- a/config/charter.go
+++ b/config/charter.go
@@ -73,6 +73,8 @@
 		Ramp:          p.span("rules.ramp-time-s"),
 		FallMultiple:  p.number("rules.fall-multiple"),
 		KeyRest:       p.span("rules.key-rest-s"),
+		Zone:          logic.ZoneID(p.count("locality")),
+		CrossFee:      p.number("prices.cross-zone"),
 		LeftAt:        -1,
 		RateAt:        -1,
 	}
--- a/config/config.go
+++ b/config/config.go
@@ -191,6 +191,9 @@
 	ch.Parties = pick(from, next.Charter.Parties, old.Parties)
 	m.Zones, from = numbers(d.Zones, next.Zones)
 	ch.RouteFee = pick(from, next.Charter.RouteFee, old.RouteFee)
+	if z := int(next.Charter.Zone); z < len(next.Zones) {
+		ch.Zone = logic.ZoneID(slices.Index(m.Zones, next.Zones[z]))
+	}
 	ch.Salt, ch.MustAsk = old.Salt, old.MustAsk
 	m.Charter = ch
 	return &m
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -169,7 +169,7 @@
 	m := first.Merged(next)
 	if !slices.Equal(m.Workloads, []string{"update", "order", "fresh"}) || !slices.Equal(m.Zones, []string{"a", "z"}) || !m.Retired["update"] ||
 		m.Retired["order"] || m.Charter.Workloads[1].Payoff != 7 || m.Charter.Workloads[2].Payoff != 3 || m.Charter.Workloads[0].Payoff != 1 ||
-		m.Charter.Hold != 5 || m.Charter.Salt != first.Charter.Salt {
+		m.Charter.Hold != 5 || m.Charter.Zone != 1 || m.Charter.Salt != first.Charter.Salt {
 		t.Errorf("%+v %v %v %+v", m.Workloads, m.Zones, m.Retired, m.Charter)
 	}
 }
--- a/config/schema.go
+++ b/config/schema.go
@@ -64,6 +64,7 @@
 
 	{Path: "settings.fleet-size", Kind: Count, High: 1e6, Doc: "couriers in all"},
 	{Path: "settings.ordinal", Kind: Count, High: 1e6, Doc: "number of this one, from 0"},
+	{Path: "settings.locality", Kind: Count, High: 1e6, Doc: "its zone, by its place in zones"},
 	{Path: "settings.zones", Kind: Words, Doc: "names of the zones"},
 	{Path: "settings.shapes", Kind: Words, Doc: "kinds of destination"},
 	{Path: "settings.tick-s", Kind: Number, Needed: true, Low: 0.0001, High: 10, Unit: "s", Doc: "shortest gap between two turns"},
@@ -98,6 +99,7 @@
 	{Path: "settings.rules.ramp-time-s", Kind: Number, High: 1e9, Unit: "s", Doc: "time until it has all of it"},
 	{Path: "settings.rules.fall-multiple", Kind: Number, High: 1e6, Doc: "sent more than this multiple of what it can do, it falls over"},
 	{Path: "settings.rules.key-rest-s", Kind: Number, High: 1e9, Unit: "s", Doc: "how long a key rests after a trip that may still run"},
+	{Path: "settings.prices.cross-zone", Kind: Number, High: 1e6, Doc: "price of a trip to another zone; ranks endpoints"},
 
 	{Path: "settings.classes[].aim-stretch", Unread: true}, {Path: "settings.classes[].streaming", Unread: true}, {Path: "settings.callers.marks-retry", Unread: true},
 	{Path: "settings.family", Unread: true}, {Path: "settings.family-info.notes", Unread: true}, {Path: "settings.family-info.refusal-cost", Unread: true},
@@ -110,7 +112,7 @@
 	{Path: "settings.prices.peer", Unread: true}, {Path: "settings.prices.probe", Unread: true}, {Path: "settings.prices.waste", Unread: true},
 	{Path: "settings.telemetry.source", Unread: true}, {Path: "settings.rules.answer-slack-s", Unread: true}, {Path: "settings.rules.ask-within-s", Unread: true},
 	{Path: "settings.rules.drain-grace-s", Unread: true}, {Path: "settings.rules.tip-after-s", Unread: true}, {Path: "settings.tenants[].share", Unread: true},
-	{Path: "settings.locality", Unread: true}, {Path: "settings.prices.cross-zone", Unread: true}, {Path: "settings.tier", Unread: true}, {Path: "settings.tiers", Unread: true}, {Path: "settings.value-by", Unread: true},
+	{Path: "settings.tier", Unread: true}, {Path: "settings.tiers", Unread: true}, {Path: "settings.value-by", Unread: true},
 }
 
 // general turns settings.classes.0.name into settings.classes[].name.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -312,8 +312,11 @@
 
 // fee puts an endpoint that costs more behind a cheaper one in rank.
 func (c *Courier) fee(ep *endpoint) (fee float64) {
+	if ep.Zone != c.ch.Zone {
+		fee = c.ch.CrossFee
+	}
 	if ep.dest.shape.Apart && int(ep.Zone) < len(c.ch.RouteFee) {
-		fee = c.ch.RouteFee[ep.Zone]
+		fee += c.ch.RouteFee[ep.Zone]
 	}
 	return fee
 }
@@ -487,6 +490,10 @@
 	t, ep, o := r.trips[e.Trip], r.trips[e.Trip].at, e.Outcome
 	c.endTrip(t, e)
 	c.learn(e, t)
+	if ep.calls == 0 && c.crowds(ep) {
+		ep.idleSince = 0
+		c.do(CloseIdle{ep.Endpoint})
+	}
 	r.last = ep
 	c.ran(r, o, t.sent, ep.Zone)
 	if e.Over {
@@ -513,6 +520,17 @@
 	}
 }
 
+// crowds tells whether a connection that rests here would keep others out: two calls in a hundred to endpoints of
+// the kind were refused one, and of all couriers more than four would rest here (the smallest tables take six).
+// Also eases endpoints that tire of connections. Hurts where an outage that refuses connections passes for a
+// crowd: silence and routes known to be sick are not counted.
+func (c *Courier) crowds(ep *endpoint) bool {
+	calls := ep.sent.fade(c.now, rateOver).weight / c.span(ep.route) // a microsecond
+	idle := min(1, calls*float64(c.ch.IdleAfter)) - 1.5*calls*float64(c.mean(ep.route))
+	crowd := c.crowd[ep.dest.kind].fade(c.now, rateOver)
+	return crowd.sum > 0.02*(crowd.weight+5) && float64(c.ch.Couriers)*idle > 4
+}
+
 // learn takes in what an outcome tells of its route.
 func (c *Courier) learn(e Settled, t *trip) {
 	ep, rt, o := t.at, t.at.route, e.Outcome
@@ -524,6 +542,12 @@
 	}
 	// A full connection table looks like an outage of one trip, while others are answered.
 	hollow := o == Unreachable && ep.heard > t.sent
+	crowd := &c.crowd[rt.dest.kind]
+	if o == Done {
+		crowd.add(c.now, rateOver, 0)
+	} else if o == Unreachable && !rt.sick && e.Took < second/2 {
+		crowd.add(c.now, rateOver, 1)
+	}
 	switch o {
 	case Done:
 		rt.took.add(c.now, tookOver, float64(e.Took))
--- a/logic/scenario_test.go
+++ b/logic/scenario_test.go
@@ -161,6 +161,7 @@
 		c.MaxTrips = int(p.number(opt("trips", strconv.Itoa(c.MaxTrips))))
 		c.Couriers = int(p.number(opt("couriers", strconv.Itoa(c.Couriers))))
 		c.Number = int(p.number(opt("number", "0")))
+		c.Zone, c.CrossFee = ZoneID(p.number(opt("zone", "0"))), p.number(opt("crossing", "0"))
 		c.MustAsk = has("ask")
 		if has("reports") {
 			c.LeftAt, c.RateAt = 0, 1
--- a/logic/state.go
+++ b/logic/state.go
@@ -38,6 +38,7 @@
 	took      tally      // answer times everywhere
 	broke     [10]tally  // calls that broke or got lost, by how long their connection had rested; first the new ones
 	refused   []tally    // calls refused of those answered, by shape
+	crowd     []tally    // calls that were refused a connection, of those and the done ones, by shape
 	lookAt    Micros     // when something held may next be done
 	wakeAt    Micros     // the earliest wake-up asked for
 	askAt     Micros
@@ -62,6 +63,7 @@
 		keys:      map[Key]*keyLine{},
 		parties:   make([]tally, len(ch.Parties)),
 		refused:   make([]tally, len(ch.Shapes)+1),
+		crowd:     make([]tally, len(ch.Shapes)+1),
 		wakeAt:    never,
 	}
 }
@@ -84,6 +86,7 @@
 		}
 	}
 	c.parties, c.refused = grown(c.parties, len(c.ch.Parties)), grown(c.refused, len(c.ch.Shapes)+1)
+	c.crowd = grown(c.crowd, len(c.ch.Shapes)+1)
 }
 
 type record struct {
@@ -145,6 +148,7 @@
 	route     *route
 	hash      uint64
 	calls     int
+	sent      tally  // calls
 	heard     Micros // last answer
 	idleSince Micros // when a call there last ended and left its connection; 0 if none can rest
 	lastCall  Micros
@@ -416,6 +420,7 @@
 	ep.calls++
 	ep.dest.calls++
 	ep.lastCall, ep.route.lastCall = c.now, c.now
+	ep.sent.add(c.now, rateOver, 1)
 	c.lately(ep.route)
 	return cl
 }
--- a/logic/types.go
+++ b/logic/types.go
@@ -83,6 +83,8 @@
 	Rates          Listed
 	LeftAt, RateAt int       // where a report holds the allowance left and the rate; -1 if nowhere
 	RouteFee       []float64 // by zone, for each record that a route takes on
+	Zone           ZoneID
+	CrossFee       float64 // for a trip to another zone
 	ColdFrom       float64
 	Ramp           Micros
 	FallMultiple   float64
