--- a/logic/logic.go
+++ b/logic/logic.go
@@ -828,6 +828,7 @@
 // place finds the endpoint for a record: the first in rank, the next when that one has enough.
 func (c *Courier) place(r *record) (best *endpoint, trial bool) {
 	var spare *endpoint
+	least := 0
 	for _, ep := range r.dest.endpoints {
 		if !c.fits(r, ep) {
 			continue
@@ -840,8 +841,12 @@
 			spare = cmp.Or(spare, ep)
 			continue
 		}
-		if best == nil || ep.calls < best.calls {
-			best = ep
+		calls := ep.calls
+		if ep.Zone != c.ch.Zone && c.ch.CrossFee > 0 {
+			calls++ // crossing costs time, too: a nearer one has enough with one more
+		}
+		if best == nil || calls < least {
+			best, least = ep, calls
 		}
 	}
 	best = cmp.Or(best, spare)
