--- a/logic/logic.go
+++ b/logic/logic.go
@@ -490,7 +490,7 @@
 	t, ep, o := r.trips[e.Trip], r.trips[e.Trip].at, e.Outcome
 	c.endTrip(t, e)
 	c.learn(e, t)
-	if ep.calls == 0 && c.calls+1 < c.ch.Slots && c.crowds(ep) {
+	if ep.calls == 0 && c.crowds(ep) {
 		ep.idleSince = 0
 		c.do(CloseIdle{ep.Endpoint})
 	}
