--- a/logic/logic.go
+++ b/logic/logic.go
@@ -711,7 +711,7 @@
 	return gap
 }
 
-// dispatch sends where a slot gains most first; none may have more out than slots are left, so none starves.
+// dispatch sends where a slot gains most first.
 func (c *Courier) dispatch() {
 	for _, d := range c.waiting {
 		c.sortQueue(d)
@@ -722,7 +722,7 @@
 		sent = false
 		for _, d := range order {
 			switch free := c.ch.Slots - c.calls; {
-			case len(d.queue) == 0 || free > 0 && d.calls > free:
+			case len(d.queue) == 0 || free > 0 && d.calls > c.most(d, free):
 			case free > 0:
 				sent = c.sendOne(d) || sent
 			default: // there is no slot
@@ -737,6 +737,17 @@
 	}
 }
 
+// most is how many calls a destination may have out: twice the slots left; only as many before it has answered,
+// and once a call is overdue, as what has fallen silent would take them all.
+func (c *Courier) most(d *dest, free int) int {
+	for _, rt := range d.routes {
+		if len(rt.out) > 0 && (rt.heard == 0 || c.now-rt.out[0].sent > 2*c.mean(rt)+second/4) {
+			return free
+		}
+	}
+	return 2 * free
+}
+
 // reclaim calls off the most overdue; nine in ten take under 3 means and a bit. Hurts if all turn slow at
 // once.
 func (c *Courier) reclaim(most float64) {
