A crowd is told by refusals that go on: one in two seconds counted, begun at a twentieth

An outage refuses many at once and is over in seconds; a crowd refuses now and then and goes on. One refusal in two seconds is counted, and a crowd that was given way to is believed until a 200th.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -527,8 +527,13 @@
 func (c *Courier) crowds(ep *endpoint) bool {
 	calls := ep.sent.fade(c.now, rateOver).weight / c.span(ep.route) // a microsecond
 	idle := min(1, calls*float64(c.ch.IdleAfter)) - 1.5*calls*float64(c.mean(ep.route))
-	crowd := c.crowd[ep.dest.kind].fade(c.now, rateOver)
-	return crowd.sum > 0.02*(crowd.weight+5) && float64(c.ch.Couriers)*idle > 4
+	crowd, share := &c.crowd[ep.dest.kind], 0.05
+	if crowd.on {
+		share = 0.005 // an outage is over in seconds; a crowd that was given way to comes back
+	}
+	crowd.fade(c.now, rateOver)
+	crowd.on = crowd.sum > share*(crowd.weight+5)
+	return crowd.on && float64(c.ch.Couriers)*idle > 4
 }
 
 // learn takes in what an outcome tells of its route.
@@ -545,8 +550,9 @@
 	crowd := &c.crowd[rt.dest.kind]
 	if o == Done {
 		crowd.add(c.now, rateOver, 0)
-	} else if o == Unreachable && !rt.sick && e.Took < second/2 {
-		crowd.add(c.now, rateOver, 1)
+	} else if o == Unreachable && !rt.sick && e.Took < second/2 && c.now-crowd.last > outageAfter {
+		crowd.add(c.now, rateOver, 1) // not all that an outage refuses at once
+		crowd.last = c.now
 	}
 	switch o {
 	case Done:
--- a/logic/state.go
+++ b/logic/state.go
@@ -38,7 +38,7 @@
 	took      tally      // answer times everywhere
 	broke     [10]tally  // calls that broke or got lost, by how long their connection had rested; first the new ones
 	refused   []tally    // calls refused of those answered, by shape
-	crowd     []tally    // calls that were refused a connection, of those and the done ones, by shape
+	crowd     []crowding // by shape
 	lookAt    Micros     // when something held may next be done
 	wakeAt    Micros     // the earliest wake-up asked for
 	askAt     Micros
@@ -63,7 +63,7 @@
 		keys:      map[Key]*keyLine{},
 		parties:   make([]tally, len(ch.Parties)),
 		refused:   make([]tally, len(ch.Shapes)+1),
-		crowd:     make([]tally, len(ch.Shapes)+1),
+		crowd:     make([]crowding, len(ch.Shapes)+1),
 		wakeAt:    never,
 	}
 }
@@ -207,6 +207,13 @@
 	at          Micros
 }
 
+// crowding counts calls that were refused a connection, of those and the done ones.
+type crowding struct {
+	tally
+	last Micros // one that was counted
+	on   bool
+}
+
 // fade brings a tally up to date and returns it.
 func (t *tally) fade(now, over Micros) *tally {
 	if now > t.at {
