What waited is spread after a standstill: a returning route was pushed over by a hall in step

Cause, by tap: 65 couriers of one hall stood still for 1.8 s and woke at the same instant; 70 trips went in that instant, nearly all of records held for 4 to 15 s, by couriers that had seen failures or refusals. Lines: Handle, which took a late wake-up like any other. Scenario standstill-is-not-in-step fails without the change.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -33,9 +33,8 @@
 	}
 }
 
-// recharter goes on under another charter. What was taken keeps the workload that it was taken as: its
-// cut-off, and whether it may run twice. Fewer slots end no call; a smaller hold gives up nothing that is
-// held already.
+// recharter goes on under another charter. What was taken keeps the workload that it was taken as. Fewer
+// slots end no call; a smaller hold gives up nothing that is held already.
 func (c *Courier) recharter(ch Charter) {
 	c.ch, c.roomy = ch, c.held
 	c.weigh()
@@ -46,6 +45,7 @@
 func (c *Courier) Handle(now Micros, events []Event) []Action {
 	c.now, c.out, c.lookAt = now, nil, never
 	if c.wakeAt <= now {
+		c.stood(now - c.wakeAt)
 		c.wakeAt = never
 	}
 	for _, event := range events {
@@ -91,6 +91,16 @@
 	return c.out
 }
 
+// stood spreads what waited while this courier stood still over as long as it stood, where calls failed or
+// were refused within a ramp: a whole building that wakes in step would push over what returns.
+func (c *Courier) stood(span Micros) {
+	for _, rt := range c.late {
+		if span > second/4 && c.now-rt.hurt < c.ch.Ramp {
+			rt.waitTo = max(rt.waitTo, c.now+Micros(c.rng.Int63n(int64(span))))
+		}
+	}
+}
+
 func (c *Courier) do(a Action)    { c.out = append(c.out, a) }
 func (c *Courier) look(at Micros) { c.lookAt = min(c.lookAt, at) }
 
@@ -400,9 +410,8 @@
 const loreHolds = 30 * second
 
 // believe takes over what was learned before a restart. Caution is kept whole, and a ramp goes on from where
-// it stood, as the destination may have fallen again meanwhile; what gives confidence fades. So an older
-// lore, while it is believed at all, makes no bolder than a younger one. One from the future is of another
-// clock.
+// it stood, as the destination may have fallen again; what gives confidence fades. So an older lore, if
+// believed at all, makes no bolder than a younger one. One from the future is of another clock.
 func (c *Courier) believe(l Lore) {
 	if c.now < l.At || c.now-l.At > loreHolds {
 		return
@@ -423,27 +432,17 @@
 		if r.Rate > 0 {
 			rt.rate = r.Rate // what is left of it changes within a second: the next report tells
 		}
-		for i := range min(len(rt.breakers), len(r.Breakers)) {
-			rt.breakers[i] = breaker{fails: r.Breakers[i].Fails, since: l.At, used: c.now}
-			if r.Breakers[i].Until > 0 {
-				rt.breakers[i].state, rt.breakers[i].until = open, r.Breakers[i].Until
-			}
-		}
+		rt.recall(r.Breakers, l.At, c.now)
 	}
 	for _, e := range l.Endpoints {
-		if ep := c.endpoints[e.Endpoint]; ep != nil && len(e.Runs) == len(ep.runs)+1 {
-			ep.run.recall(e.Runs[0])
-			ep.coldTo = e.ColdTo
-			for i := range ep.runs {
-				ep.runs[i].recall(e.Runs[i+1])
-			}
+		if ep := c.endpoints[e.Endpoint]; ep != nil {
+			ep.recall(e)
 		}
 	}
 }
 
 // strike counts signs of an outage: three in a row with nothing served for a while, two where calls are rare.
-// A refusal may tell of a limit, unless it is known to be none: three; where a report tells that it is used
-// up, it begins no cold ramp.
+// A refusal may tell of a limit, unless it is known to be none: three; of one that is used up it is no sign.
 func (c *Courier) strike(rt *route, signs *int, o Outcome, shut bool) {
 	few := 3
 	if c.base(rt) < rare && (o != Full || rt.rate == 0 || shut) {
@@ -491,8 +490,7 @@
 	c.endTrip(t, e)
 	c.learn(e, t)
 	if ep.calls == 0 && c.crowds(ep) {
-		ep.idleSince = 0
-		c.do(CloseIdle{ep.Endpoint})
+		c.closeIdle(ep)
 	}
 	r.last = ep
 	c.ran(r, o, t.sent, ep.Zone)
@@ -520,10 +518,9 @@
 	}
 }
 
-// crowds tells whether a connection that rests here would keep others out: two calls in a hundred to endpoints of
-// the kind were refused one, and of all couriers more than four would rest here (the smallest tables take six).
-// Also eases endpoints that tire of connections. Hurts where an outage that refuses connections passes for a
-// crowd: silence and routes known to be sick are not counted.
+// crowds tells whether a connection that rests here would keep others out: one call in twenty to the kind was
+// refused one, and of all couriers more than four would rest here (the smallest tables take six).
+// Hurts where an outage that refuses connections passes for a crowd: see learn.
 func (c *Courier) crowds(ep *endpoint) bool {
 	calls := ep.sent.fade(c.now, rateOver).weight / c.span(ep.route) // a microsecond
 	idle := min(1, calls*float64(c.ch.IdleAfter)) - 1.5*calls*float64(c.mean(ep.route))
@@ -554,6 +551,9 @@
 		crowd.add(c.now, rateOver, 1) // not all that an outage refuses at once
 		crowd.last = c.now
 	}
+	if o != Done && o != Void && o != Withdrawn && !hollow {
+		rt.hurt = c.now
+	}
 	switch o {
 	case Done:
 		rt.took.add(c.now, tookOver, float64(e.Took))
@@ -630,9 +630,8 @@
 	rateOver   = 30 * second // what a destination takes from this courier is judged over a day's part
 )
 
-// left is the share of a limit that is left. Where calls are rare the last report is old: limits are counted
-// over a second or two, so room came back meanwhile, unless many are refused at destinations of the kind: one
-// in seven, and they all use up the limit.
+// left is the share of a limit that is left. Where calls are rare the last report is old, and room came back
+// since, unless many are refused at destinations of the kind: from one in seven they use it all up.
 func (c *Courier) left(rt *route) float64 {
 	switch {
 	case !rt.told:
@@ -677,9 +676,8 @@
 }
 
 // widen doubles the gap, once a round, for refusals; among many couriers for failures too, as six in a row
-// come too late. It begins at a sixth of the spacing of this courier's part, and ends at that, or a second.
-// Where calls are rare it begins by chance at some least: short for refusals, as a clump is over in seconds,
-// long for failures.
+// come too late. It begins at a sixth of this courier's spacing, and ends at that, or a second. Where calls
+// are rare it begins by chance at some least: short for refusals, as clumps are over in seconds, or long.
 func (c *Courier) widen(rt *route, least Micros) {
 	if rt.widened != c.now {
 		rt.widened, rt.knee = c.now, rt.gap
@@ -743,8 +741,8 @@
 	}
 }
 
-// most is how many calls a destination may have out: twice the slots left; only as many before it has answered,
-// and once a call is overdue, as what has fallen silent would take them all.
+// most is how many calls a destination may have out: twice the slots left; only as many before it has
+// answered, and once a call is overdue, as what has fallen silent would take them all.
 func (c *Courier) most(d *dest, free int) int {
 	for _, rt := range d.routes {
 		if len(rt.out) > 0 && (rt.heard == 0 || c.now-rt.out[0].sent > 2*c.mean(rt)+second/4) {
@@ -798,8 +796,7 @@
 		}
 		// Closed unsaid on the way: what rested so long breaks more often, and a new one costs less than that.
 		if ep.idleSince > 0 && c.now-ep.idleSince >= c.breakFrom(0.05) {
-			ep.idleSince = 0
-			c.do(CloseIdle{ep.Endpoint})
+			c.closeIdle(ep)
 		}
 		cl := c.startCall(ep)
 		c.send(r, ep, cl, trial)
@@ -886,9 +883,8 @@
 		gap = max(gap, late)
 	}
 	if !rt.sick && !rt.cold && c.base(rt) < 4*rare {
-		// One queue cannot sort what waits at many couriers: the gap decides who goes first, what loses most by
-		// waiting.
-		// Fourfold at most, or what loses nothing by waiting would never go.
+		// One queue cannot sort what waits at many couriers: the gap lets go first what loses most by waiting;
+		// fourfold at most, or what loses nothing by it would never go.
 		gap = Micros(float64(gap) * min(4, max(1, math.Cbrt(c.steepest/max(c.steep(r.work), 1e-12)))))
 	}
 	// All who were told when a shut destination opens would be there at that instant: each draws a lot.
--- a/logic/lore.go
+++ b/logic/lore.go
@@ -185,3 +185,25 @@
 
 // recall takes over a run of failures.
 func (n *run) recall(r RunLore) { n.fails, n.restTo = r.Fails, r.RestTo }
+
+// recall takes over breakers: those that were open stay so until the instant they had.
+func (rt *route) recall(all []BreakerLore, at, now Micros) {
+	for i := range min(len(rt.breakers), len(all)) {
+		rt.breakers[i] = breaker{fails: all[i].Fails, since: at, used: now}
+		if all[i].Until > 0 {
+			rt.breakers[i].state, rt.breakers[i].until = open, all[i].Until
+		}
+	}
+}
+
+// recall takes over what an endpoint had failed, where both know as many workloads.
+func (ep *endpoint) recall(e EndpointLore) {
+	if len(e.Runs) != len(ep.runs)+1 {
+		return
+	}
+	ep.run.recall(e.Runs[0])
+	ep.coldTo = e.ColdTo
+	for i := range ep.runs {
+		ep.runs[i].recall(e.Runs[i+1])
+	}
+}
--- a/logic/scenario_test.go
+++ b/logic/scenario_test.go
@@ -17,7 +17,7 @@
 // SECONDS", the events of that instant (list, take, end, left), and what must have been done since the instant
 // before: want, none, most N, least N, with the beginning of an action, or what it holds now: records, keys, endpoints,
 // dests and their number. "answer ENDPOINT OUTCOME SPAN" lets an
-// endpoint answer by itself, "never" ends that. List entries are endpoint:dest:zone:shape:phase:rate; r1..r9
+// endpoint answer by itself, "never" ends that. "stands" after an instant: no event is handled until the next one. List entries are endpoint:dest:zone:shape:phase:rate; r1..r9
 // stands for nine records. Every action is held against the rules, asked or not.
 func TestScenarios(t *testing.T) {
 	files, err := filepath.Glob("testdata/*.txt")
@@ -78,6 +78,7 @@
 	charter      Charter
 	courier      *Courier
 	watchers     watchers
+	stood        bool
 	lore         *Lore
 	now          Micros
 	batch        []Event
@@ -269,6 +270,9 @@
 	case "bar", "unbar": // by people
 		p.batch = append(p.batch, Maintained{EndpointID(w[1]), w[0] == "bar"})
 		p.barred[w[1]] = w[0] == "bar"
+	case "stands": // still: what falls due until the next instant comes then, all at once
+		p.flush()
+		p.stood = true
 	case "left":
 		p.batch = append(p.batch, Left{RecordID(w[1])})
 		p.records[w[1]].ended = true
@@ -343,7 +347,9 @@
 		if next >= to {
 			break
 		}
-		p.now = max(p.now, next)
+		if p.now = max(p.now, next); p.stood {
+			p.now = to
+		}
 		var events []Event
 		for len(p.later) > 0 && p.later[0].at <= p.now {
 			events = append(events, p.note(p.later[0].e))
@@ -354,7 +360,7 @@
 		}
 		p.handle(events)
 	}
-	p.now = to
+	p.now, p.stood = to, false
 }
 
 // rules holds every action against the six rules, in every scenario.
--- a/logic/state.go
+++ b/logic/state.go
@@ -181,7 +181,8 @@
 	since      Micros
 	sick       bool // an outage was seen, and no answer since
 	sickAt     Micros
-	strikes    int // signs of an outage in a row
+	strikes    int    // signs of an outage in a row
+	hurt       Micros // last call that failed or was refused
 	coldSince  Micros
 	cold       bool
 	lastDone   Micros
@@ -197,7 +198,7 @@
 func (c *Courier) newRuns() []run { return make([]run, len(c.ch.Workloads)) }
 
 func (c *Courier) newRoute(d *dest) *route {
-	return &route{dest: d, since: c.now, lastDone: c.now, lastCall: -second,
+	return &route{dest: d, since: c.now, lastDone: c.now, lastCall: -second, hurt: -never / 2,
 		breakers: make([]breaker, len(c.ch.Workloads))}
 }
 
@@ -400,6 +401,12 @@
 	return d
 }
 
+// closeIdle drops what rests at an endpoint.
+func (c *Courier) closeIdle(ep *endpoint) {
+	ep.idleSince = 0
+	c.do(CloseIdle{ep.Endpoint})
+}
+
 type state int
 
 const (
