--- a/cmd/pineport/run.go
+++ b/cmd/pineport/run.go
@@ -20,6 +20,7 @@
 	"pineport/logic"
 	"pineport/logs"
 	"pineport/ops"
+	"pineport/peers/gossip"
 	"pineport/routing"
 	"pineport/spool"
 	"pineport/transport"
@@ -84,6 +85,7 @@
 	stop    chan struct{}
 	reloads chan *config.Deployment
 	router  atomic.Pointer[routing.Router]
+	member  atomic.Pointer[gossip.Member] // of the fleet; nil: none
 }
 
 // hear reads the configuration anew at each hangup.
@@ -154,6 +156,9 @@
 	router.Reloaded(func(next *config.Deployment) {
 		p.dep = next
 		limits(next)
+		if m := p.member.Load(); m != nil {
+			m.Sized(next.Charter.Couriers)
+		}
 		if err := log.SetLevels(next.Log.Level, next.Log.Levels); err != nil {
 			log.Warn("levels of the log stay as they are", "fault", err)
 		}
@@ -161,6 +166,7 @@
 	if elder != nil {
 		router.Elder(elder)
 	}
+	defer p.enter(ctx, router, given)()
 	router.Heirs(folder.Release)
 	if err := folder.Serve(router.Knocked); err != nil {
 		log.Warn("no upgrade can take over while this process runs", "fault", err)
--- a/config/config.go
+++ b/config/config.go
@@ -29,6 +29,7 @@
 	Known     json.RawMessage // the list as this courier had it last, in discovery's form
 	Learn     time.Duration   // how often at most what was learned is kept; 0: never
 	Log       Log
+	Peers     Peers
 	Watch     *Deployment // whose settings are watched; nil for none
 	WatchTell time.Duration
 
@@ -44,6 +45,18 @@
 	Document *Document
 }
 
+// Peers is how this courier knows the others of its fleet.
+type Peers struct {
+	Listen, Advertise string // empty: no membership
+	Fleet, Key        string
+	Join, Through     []string
+	Pace              time.Duration
+	Allowed           bool // by the charter
+}
+
+// On tells whether there is to be a membership at all.
+func (p Peers) On() bool { return p.Listen != "" && p.Allowed }
+
 // Log is how the log is kept.
 type Log struct {
 	Level   string
@@ -145,6 +158,8 @@
 	for i := range d.Charter.Parties {
 		d.Parties = append(d.Parties, settings[fmt.Sprintf("tenants.%d.name", i)])
 	}
+	d.Peers = Peers{Listen: text("peers.listen"), Advertise: text("peers.advertise"), Fleet: text("peers.fleet"), Key: text("peers.key"),
+		Join: words("peers.join"), Through: words("peers.through"), Pace: seconds("peers.pace_s"), Allowed: text("settings.ceilings.peers") == "true"}
 	d.Zones, d.Shapes, d.Report = words("settings.zones"), words("settings.shapes"), words("settings.telemetry.fields")
 	d.ConnectTimeout = seconds("settings.ceilings.connect-timeout-s")
 	return d, d.unique()
@@ -171,7 +186,7 @@
 func (d *Deployment) Merged(next *Deployment) *Deployment {
 	m := *next
 	m.Name, m.Listen, m.Ops, m.Socket, m.Spool, m.Known, m.Learn = d.Name, d.Listen, d.Ops, d.Socket, d.Spool, d.Known, d.Learn
-	m.Watch, m.WatchTell = d.Watch, d.WatchTell
+	m.Watch, m.WatchTell, m.Peers = d.Watch, d.WatchTell, d.Peers
 	old, ch := d.Charter, next.Charter
 	m.Retired = map[string]bool{}
 	var from []int
--- a/handover/message.go
+++ b/handover/message.go
@@ -48,6 +48,13 @@
 	Waits map[string]logic.Micros `json:"waits"` // by route, until when
 	Gone  []string                `json:"gone"`  // endpoints out for maintenance
 	Away  bool                    `json:"away"`  // clients are sent away
+	Peers *Peers                  `json:"peers,omitempty"`
+}
+
+// Peers is what the fleet knows this courier by, and where its members are: both processes are one member.
+type Peers struct {
+	Start   uint64   `json:"start"`
+	Members []string `json:"members"`
 }
 
 // Out is one trip.
--- /dev/null
+++ b/lab/fleet/fleet.go
@@ -0,0 +1,521 @@
+// Package fleet plays a day with many real couriers that know each other, while the network between them fails and they are
+// killed, stopped and restarted: it brings up the rig, watches what each believes of the others, and measures.
+package fleet
+
+import (
+	"context"
+	"embed"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"path"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"pineport/lab/day"
+	"pineport/lab/ledger"
+	"pineport/lab/links"
+	"pineport/lab/live"
+	"pineport/lab/proc"
+	"pineport/logic"
+	"pineport/peers/identity"
+)
+
+//go:embed days/*.toml
+var builtIn embed.FS
+
+// Plan is a fleet's day: a day of the laboratory, and what goes wrong between the couriers besides.
+type Plan struct {
+	About    string        `toml:"about"`
+	Day      string        `toml:"day"`      // whose destinations, workloads and traffic it takes
+	Couriers int           `toml:"couriers"` // 0: the day's own
+	Length   float64       `toml:"length_s"`
+	Load     float64       `toml:"full_per_s"` // records a second at full load, for each courier
+	Faults   []links.Fault `toml:"fault"`
+}
+
+// Process faults, beside those of the network: what happens to each courier named, At, for Length.
+const (
+	Kill    = "kill"         // killed outright, and started again with its folder
+	Stop    = "stop"         // stands still
+	Roll    = "roll"         // asked to end one after the other, and started again
+	Empty   = "lose-folder"  // killed, and started again without its folder
+	Older   = "older-folder" // killed, and started again with its folder as it was at the beginning
+	Address = "move"         // killed, and started again at another address
+)
+
+var processFaults = []string{Kill, Stop, Roll, Empty, Older, Address}
+
+// Days lists the plans that come with the laboratory.
+func Days() (names []string) {
+	entries, err := builtIn.ReadDir("days")
+	if err != nil {
+		panic(err) // embedded, so it is there
+	}
+	for _, e := range entries {
+		names = append(names, strings.TrimSuffix(e.Name(), ".toml"))
+	}
+	return names
+}
+
+// Find reads a plan that comes with the laboratory, or else a file.
+func Find(name string) (*Plan, error) {
+	text, err := builtIn.ReadFile(path.Join("days", name+".toml"))
+	if err != nil {
+		if text, err = os.ReadFile(name); err != nil {
+			return nil, fmt.Errorf("no fleet's day has the name %q; there are %s, and files", name, strings.Join(Days(), ", "))
+		}
+	}
+	p := &Plan{}
+	dec := toml.NewDecoder(strings.NewReader(string(text))).DisallowUnknownFields()
+	if err := dec.Decode(p); err != nil {
+		return nil, fmt.Errorf("%s: %w", name, err)
+	}
+	return p, p.check(name)
+}
+
+func (p *Plan) check(name string) error {
+	for i, f := range p.Faults {
+		switch {
+		case !links.OnNetwork(f.Kind) && !slices.Contains(processFaults, f.Kind):
+			return fmt.Errorf("%s: fault.%d.kind: no fault has the name %q", name, i, f.Kind)
+		case f.At < 0 || f.Length <= 0 || f.At+f.Length > p.Length:
+			return fmt.Errorf("%s: fault.%d: a span within the day's %v s was expected, not %v s from %v s", name, i, p.Length, f.Length, f.At)
+		case len(f.From) == 0 && !links.OnNetwork(f.Kind):
+			return fmt.Errorf("%s: fault.%d.from: the couriers that it strikes were expected", name, i)
+		}
+	}
+	return nil
+}
+
+// Options are how it is played.
+type Options struct {
+	Binary string
+	Dir    string
+	Seed   int64
+	Peers  bool          // membership on
+	Pace   time.Duration // of the detector; 0: 200 ms, so that a day of half a minute shows it
+	Trace  io.Writer     // of the network; nil: none
+	Log    *slog.Logger
+}
+
+// Result is what came of it.
+type Result struct {
+	Verdict  *ledger.Verdict `json:"verdict"`
+	Cost     live.Cost       `json:"cost"`
+	Couriers int             `json:"couriers"`
+	Struck   map[string]int  `json:"struck"`
+	Idle     []string        `json:"faults_that_never_struck,omitempty"`
+	// Known are spans in seconds, one for each courier that came to know: of a death, and of a return.
+	Deaths  []float64 `json:"deaths_known_s"`
+	Returns []float64 `json:"returns_known_s"`
+	// False counts deaths believed while the courier was up, by kind of fault that was on (none: no fault).
+	False    map[string]int `json:"deaths_believed_that_were_none"`
+	Fewer    int            `json:"counted_fewer"` // looks at which a courier reckoned with fewer than there are
+	Whole    bool           `json:"whole_at_the_end"`
+	Healed   float64        `json:"whole_after_the_last_fault_s"`
+	Messages float64        `json:"packets_a_second_each"`
+	Bytes    float64        `json:"bytes_a_second_each"`
+	Hours    float64        `json:"process_hours"`
+}
+
+// look is what a courier says of its fleet.
+type look struct {
+	Standing string `json:"standing"`
+	Least    int    `json:"least"`
+	Most     int    `json:"most"`
+	Start    uint64 `json:"start"`
+	Members  []struct {
+		Name  string `json:"name"`
+		Start uint64 `json:"start"`
+		State string `json:"state"`
+	} `json:"members"`
+	Figures struct {
+		Network struct{ PacketsOut, BytesOut int64 } `json:"network"`
+	} `json:"figures"`
+}
+
+// rig is a day under way.
+type rig struct {
+	plan   *Plan
+	o      Options
+	n      int
+	net    *links.Net
+	ops    []string
+	gossip []string
+	extra  []*net.TCPListener
+	field  *live.Field
+
+	mu      sync.Mutex
+	down    map[int]time.Time // since when a courier is away
+	back    map[int]time.Time
+	starts  map[int]int
+	on      map[string]int // faults that are on
+	saw     map[[2]int]string
+	res     *Result
+	looks   []look
+	traffic [2]int64
+	idle    []string
+}
+
+// Play plays a plan.
+func Play(ctx context.Context, p *Plan, o Options) (*Result, error) {
+	d, err := day.Find(p.Day)
+	if err != nil {
+		return nil, err
+	}
+	if p.Couriers > 0 {
+		d.Fleet.Couriers = p.Couriers
+	}
+	if p.Load > 0 {
+		d.Traffic.FullPerSec = p.Load * float64(d.Fleet.Couriers)
+	}
+	d.Length = p.Length
+	if o.Pace == 0 {
+		o.Pace = 200 * time.Millisecond
+	}
+	if o.Dir == "" {
+		dir, err := os.MkdirTemp("", "pinelab-fleet-")
+		if err != nil {
+			return nil, err
+		}
+		defer os.RemoveAll(dir)
+		o.Dir = dir
+	}
+	r := &rig{plan: p, o: o, n: d.Fleet.Couriers, down: map[int]time.Time{}, back: map[int]time.Time{}, starts: map[int]int{}, on: map[string]int{},
+		saw: map[[2]int]string{}, looks: make([]look, d.Fleet.Couriers), res: &Result{Couriers: d.Fleet.Couriers, False: map[string]int{}}}
+	if err := r.addresses(); err != nil {
+		return nil, err
+	}
+	if r.net, err = links.Open(o.Seed, r.gossip, o.Trace); err != nil {
+		return nil, err
+	}
+	defer r.net.Close()
+	lo := live.Options{Binary: o.Binary, Dir: o.Dir, Log: o.Log, Begun: r.begun}
+	if o.Peers {
+		lo.Extra = r.configure
+	}
+	v, cost, err := live.Play(ctx, day.Draw(d, o.Seed), lo)
+	if err != nil {
+		return nil, err
+	}
+	r.res.Verdict, r.res.Cost, r.res.Struck, r.res.Idle = v, cost, r.net.Struck(), r.idle
+	return r.res, nil
+}
+
+// addresses finds, for each courier, one for operators and one for its fleet.
+func (r *rig) addresses() error {
+	for i := range r.n {
+		for _, list := range []*[]string{&r.ops, &r.gossip} {
+			at, err := free(i)
+			if err != nil {
+				return err
+			}
+			*list = append(*list, at)
+		}
+	}
+	return nil
+}
+
+// free is an address of the rig's own that nobody uses, over UDP and TCP.
+func free(i int) (string, error) {
+	ip := net.IPv4(127, byte(140+(os.Getpid()>>8)%50), byte(os.Getpid()), byte(1+i%250))
+	for range 20 {
+		l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: ip})
+		if err != nil {
+			return "", err
+		}
+		at := l.Addr().(*net.TCPAddr)
+		u, err := net.ListenUDP("udp", &net.UDPAddr{IP: ip, Port: at.Port})
+		l.Close()
+		if err == nil {
+			u.Close()
+			return at.String(), nil
+		}
+	}
+	return "", fmt.Errorf("no address free for both UDP and TCP")
+}
+
+func (r *rig) configure(c *proc.Courier) (map[string]any, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	join := []string{r.gossip[0], r.gossip[(c.No+1)%r.n], r.gossip[(c.No+r.n/2)%r.n]}
+	return map[string]any{"ops": r.ops[c.No], "peers": map[string]any{"listen": r.gossip[c.No], "join": join, "fleet": "lab",
+		"key": "000102030405060708090a0b0c0d0e0f", "pace_s": r.o.Pace.Seconds(), "through": r.net.Through(c.No)},
+		"settings": map[string]any{"ceilings": map[string]any{"peers": true}}}, nil
+}
+
+// begun has the faults happen and watches, until the day is over.
+func (r *rig) begun(f *live.Field) func() {
+	r.field = f
+	keep := r.copies()
+	stop := make(chan struct{})
+	var all sync.WaitGroup
+	for _, fault := range r.plan.Faults {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			r.fault(fault, stop, keep)
+		}()
+	}
+	watched := make(chan struct{})
+	if r.o.Peers {
+		go r.watch(stop, watched)
+	} else {
+		close(watched)
+	}
+	return func() {
+		all.Wait()
+		if r.o.Peers {
+			r.heal()
+		}
+		close(stop)
+		<-watched
+		r.sum(f)
+	}
+}
+
+// copies keeps each folder's start number as it is at the beginning, for restarts from an older copy.
+func (r *rig) copies() map[int][]byte {
+	keep := map[int][]byte{}
+	for _, c := range r.field.Couriers() {
+		if text, err := os.ReadFile(filepath.Join(c.Dir, "state", identity.Name)); err == nil {
+			keep[c.No] = text
+		}
+	}
+	return keep
+}
+
+func (r *rig) fault(f links.Fault, stop <-chan struct{}, keep map[int][]byte) {
+	wait := func(until float64) {
+		select {
+		case <-time.After(time.Duration(until*float64(time.Second)) - r.field.Since()):
+		case <-stop:
+		}
+	}
+	wait(f.At)
+	r.mark(f.Kind, 1)
+	defer func() { // what was believed while it was on comes to light a little later
+		time.AfterFunc(25*r.o.Pace, func() { r.mark(f.Kind, -1) })
+	}()
+	if links.OnNetwork(f.Kind) {
+		end := r.net.Begin(f)
+		wait(f.At + f.Length)
+		if err := end(); err != nil && r.o.Peers {
+			r.mu.Lock()
+			r.idle = append(r.idle, err.Error())
+			r.mu.Unlock()
+		}
+		return
+	}
+	var all sync.WaitGroup
+	for i, no := range f.From {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			if f.Kind == Roll {
+				part := f.Length / float64(len(f.From))
+				wait(f.At + float64(i)*part)
+				r.away(no, day.Asks, min(part, 5), stop, nil)
+				return
+			}
+			r.process(f, no, stop, keep)
+		}()
+	}
+	all.Wait()
+}
+
+func (r *rig) process(f links.Fault, no int, stop <-chan struct{}, keep map[int][]byte) {
+	c := r.field.Couriers()[no]
+	state := filepath.Join(c.Dir, "state")
+	switch f.Kind {
+	case Stop:
+		r.field.Act(day.Act{Kind: day.Stands, Courier: no, Span: logic.Micros(f.Length * 1e6)})
+		time.Sleep(time.Duration(f.Length * float64(time.Second)))
+	case Kill:
+		r.away(no, day.Kills, f.Length, stop, nil)
+	case Empty:
+		r.away(no, day.Kills, f.Length, stop, func() { os.Remove(filepath.Join(state, identity.Name)) })
+	case Older:
+		r.away(no, day.Kills, f.Length, stop, func() {
+			if text := keep[no]; text != nil {
+				os.WriteFile(filepath.Join(state, identity.Name), text, 0o600)
+			}
+		})
+	case Address:
+		r.away(no, day.Kills, f.Length, stop, func() {
+			if at, err := free(no); err == nil {
+				r.mu.Lock()
+				r.gossip[no] = at
+				r.mu.Unlock()
+				r.net.Moved(no, at)
+			}
+		})
+	}
+}
+
+// away takes a courier down for a while and starts it again, after what is done to its folder.
+func (r *rig) away(no int, how day.ActKind, span float64, stop <-chan struct{}, meanwhile func()) {
+	r.mu.Lock()
+	r.down[no] = time.Now()
+	r.mu.Unlock()
+	r.field.Act(day.Act{Kind: how, Courier: no})
+	if how == day.Asks { // it goes on for some seconds
+		c := r.field.Couriers()[no]
+		for c.Running() {
+			select {
+			case <-stop:
+				return
+			case <-time.After(20 * time.Millisecond):
+			}
+		}
+	}
+	if meanwhile != nil {
+		meanwhile()
+	}
+	select {
+	case <-time.After(time.Duration(span * float64(time.Second))):
+	case <-stop:
+	}
+	r.mu.Lock()
+	r.starts[no]++
+	r.mu.Unlock()
+	r.field.Act(day.Act{Kind: day.Starts, Courier: no})
+	r.mu.Lock()
+	delete(r.down, no)
+	r.back[no] = time.Now()
+	r.mu.Unlock()
+}
+
+func (r *rig) mark(kind string, by int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.on[kind] += by
+}
+
+// see asks a courier what it believes.
+func (r *rig) see(client *http.Client, no int) (look, bool) {
+	reply, err := client.Get("http://" + r.ops[no] + "/peers")
+	if err != nil {
+		return look{}, false
+	}
+	defer reply.Body.Close()
+	var l look
+	return l, reply.StatusCode == http.StatusOK && json.NewDecoder(reply.Body).Decode(&l) == nil
+}
+
+// watch looks at every courier again and again, and books what changed.
+func (r *rig) watch(stop <-chan struct{}, watched chan<- struct{}) {
+	defer close(watched)
+	client := &http.Client{Timeout: 300 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
+	for {
+		var all sync.WaitGroup
+		got := make([]look, r.n)
+		ok := make([]bool, r.n)
+		for i := range r.n {
+			all.Add(1)
+			go func() {
+				defer all.Done()
+				got[i], ok[i] = r.see(client, i)
+			}()
+		}
+		all.Wait()
+		now := time.Now()
+		for i := range r.n {
+			if ok[i] {
+				r.book(now, i, got[i])
+			}
+		}
+		select {
+		case <-stop:
+			return
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+}
+
+func (r *rig) book(now time.Time, no int, l look) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.looks[no] = l
+	if l.Most < r.n {
+		r.res.Fewer++
+	}
+	for _, m := range l.Members {
+		var other int
+		if _, err := fmt.Sscanf(m.Name, "n%d", &other); err != nil || other >= r.n {
+			continue
+		}
+		key := [2]int{no, other}
+		was := r.saw[key]
+		if r.saw[key] = m.State; was == m.State {
+			continue
+		}
+		gone := m.State == "failed" || m.State == "left"
+		since, down := r.down[other]
+		switch {
+		case gone && down && was == "alive" || gone && down && was == "suspected":
+			r.res.Deaths = append(r.res.Deaths, now.Sub(since).Seconds())
+		case m.State == "failed" && !down && now.Sub(r.back[other]) > 15*r.o.Pace:
+			r.res.False[r.kinds()]++
+		case m.State == "alive" && (was == "failed" || was == "left") && !down && !r.back[other].IsZero() && now.Sub(r.back[other]) < 30*time.Second:
+			r.res.Returns = append(r.res.Returns, now.Sub(r.back[other]).Seconds())
+		}
+	}
+}
+
+// kinds are the faults that are on; the caller holds the lock.
+func (r *rig) kinds() string {
+	var all []string
+	for k, n := range r.on {
+		if n > 0 {
+			all = append(all, k)
+		}
+	}
+	slices.Sort(all)
+	if len(all) == 0 {
+		return "none"
+	}
+	return strings.Join(all, "+")
+}
+
+// healWithin bounds the wait for a whole fleet after the last fault.
+const healWithin = 40 * time.Second
+
+// heal waits until all couriers know of all.
+func (r *rig) heal() {
+	for begun := time.Now(); time.Since(begun) < healWithin; time.Sleep(50 * time.Millisecond) {
+		r.mu.Lock()
+		whole := 0
+		for _, l := range r.looks {
+			if l.Standing == "whole" && l.Least >= r.n {
+				whole++
+			}
+		}
+		r.mu.Unlock()
+		if whole == r.n {
+			r.res.Whole, r.res.Healed = true, time.Since(begun).Seconds()
+			return
+		}
+	}
+}
+
+func (r *rig) sum(f *live.Field) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.res.Hours = f.Since().Hours() * float64(r.n)
+	seconds := f.Since().Seconds() * float64(r.n)
+	for _, l := range r.looks { // of the last start of each: what an earlier one sent is not counted
+		r.res.Messages += float64(l.Figures.Network.PacketsOut) / seconds
+		r.res.Bytes += float64(l.Figures.Network.BytesOut) / seconds
+	}
+}
--- /dev/null
+++ b/lab/links/mesh.go
@@ -0,0 +1,156 @@
+package links
+
+import (
+	"fmt"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+)
+
+// Mesh is the same network in memory: members' transports, for tests in virtual time. Streams pass or break as a whole.
+type Mesh struct {
+	*board
+	mu    sync.Mutex
+	nodes []*Node
+}
+
+// Node is one member's transport.
+type Node struct {
+	mesh    *Mesh
+	no      int
+	packets chan *memberlist.Packet
+	streams chan net.Conn
+	up      bool
+	Sent    int // packets, and bytes of them
+	Bytes   int
+}
+
+// NewMesh makes a network of so many members.
+func NewMesh(n int, seed int64) *Mesh {
+	m := &Mesh{board: newBoard(n, seed, nil)}
+	for i := range n {
+		m.nodes = append(m.nodes, &Node{mesh: m, no: i})
+	}
+	return m
+}
+
+// At is a member's address.
+func (m *Mesh) At(i int) string { return fmt.Sprintf("10.%d.%d.1:%d", i/250, i%250, 7000) }
+
+func (m *Mesh) who(addr string) (int, bool) {
+	host, _, err := net.SplitHostPort(addr)
+	ip := net.ParseIP(host).To4()
+	if err != nil || ip == nil {
+		return 0, false
+	}
+	i := int(ip[1])*250 + int(ip[2])
+	return i, i < len(m.nodes)
+}
+
+// Join puts a member on the network, anew if it was there before.
+func (m *Mesh) Join(i int) *Node {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.nodes[i] = &Node{mesh: m, no: i, packets: make(chan *memberlist.Packet, 1024), streams: make(chan net.Conn, 64), up: true}
+	return m.nodes[i]
+}
+
+// Drop takes a member off the network without a word.
+func (m *Mesh) Drop(i int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.nodes[i].up = false
+}
+
+func (m *Mesh) node(i int) (*Node, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := m.nodes[i]
+	return n, n.up
+}
+
+// FinalAdvertiseAddr is the member's address.
+func (n *Node) FinalAdvertiseAddr(string, int) (net.IP, int, error) {
+	host, port, err := net.SplitHostPort(n.mesh.At(n.no))
+	if err != nil {
+		return nil, 0, err
+	}
+	p, err := strconv.Atoi(port)
+	return net.ParseIP(host), p, err
+}
+
+// WriteTo sends a packet, which may get lost.
+func (n *Node) WriteTo(b []byte, addr string) (time.Time, error) {
+	now := time.Now()
+	to, ok := n.mesh.who(addr)
+	if _, up := n.mesh.node(n.no); !ok || !up {
+		return now, nil
+	}
+	n.mesh.mu.Lock()
+	n.Sent++
+	n.Bytes += len(b)
+	n.mesh.mu.Unlock()
+	from := &net.UDPAddr{IP: net.IPv4(10, byte(n.no/250), byte(n.no%250), 1), Port: 7000}
+	text := append([]byte(nil), b...)
+	for _, after := range n.mesh.packet(n.no, to, len(b)) {
+		put := func() {
+			if other, up := n.mesh.node(to); up {
+				select {
+				case other.packets <- &memberlist.Packet{Buf: text, From: from, Timestamp: time.Now()}:
+				default:
+				}
+			}
+		}
+		if after == 0 {
+			put()
+		} else {
+			time.AfterFunc(after, put)
+		}
+	}
+	return now, nil
+}
+
+// PacketCh is where packets come in.
+func (n *Node) PacketCh() <-chan *memberlist.Packet { return n.packets }
+
+// DialTimeout begins a stream, where both directions let anything through.
+func (n *Node) DialTimeout(addr string, timeout time.Duration) (net.Conn, error) {
+	to, ok := n.mesh.who(addr)
+	if !ok {
+		return nil, fmt.Errorf("%s: nobody", addr)
+	}
+	there, _ := n.mesh.get(n.no, to)
+	back, _ := n.mesh.get(to, n.no)
+	other, up := n.mesh.node(to)
+	if _, self := n.mesh.node(n.no); !self || !up {
+		return nil, fmt.Errorf("%s: refused", addr)
+	}
+	if there.Cut || back.Cut || there.Silent || back.Silent {
+		n.mesh.hit(n.no, to, Severed, 0)
+		time.Sleep(timeout)
+		return nil, fmt.Errorf("%s: no answer", addr)
+	}
+	time.Sleep(there.Delay + back.Delay)
+	near, far := net.Pipe()
+	select {
+	case other.streams <- far:
+		return near, nil
+	case <-time.After(timeout):
+		near.Close()
+		return nil, fmt.Errorf("%s: no answer", addr)
+	}
+}
+
+// StreamCh is where streams come in.
+func (n *Node) StreamCh() <-chan net.Conn { return n.streams }
+
+// Shutdown takes it off the network.
+func (n *Node) Shutdown() error {
+	n.mesh.mu.Lock()
+	defer n.mesh.mu.Unlock()
+	n.up = false
+	return nil
+}
--- a/lab/live/live.go
+++ b/lab/live/live.go
@@ -32,10 +32,26 @@
 	Watch func(at logic.Micros, a day.Act)
 	// Reload is how often each courier's configuration is written anew, with other settings, and read on SIGHUP; 0: never.
 	Reload time.Duration
+	// Extra is what a courier is configured with besides; it goes over the rest, key by key.
+	Extra func(c *proc.Courier) (map[string]any, error)
+	// Begun is told, once, when the day begins; what it returns is called when the last record has its answer.
+	Begun func(f *Field) (end func())
 	// Limits of a courier, in the platform's form; nil: 1 core, 192 MB, 1,024 descriptors, 3 MB of disk.
 	Limits map[string]any
 }
 
+// Field is a day under way, for who adds troubles of its own.
+type Field struct{ run *run }
+
+// Couriers are those of the day, by number.
+func (f *Field) Couriers() []*proc.Courier { return f.run.couriers }
+
+// Since is how long the day has been on.
+func (f *Field) Since() time.Duration { return time.Since(f.run.world.Clock.Start) }
+
+// Act carries out a trouble of a courier, and books it.
+func (f *Field) Act(a day.Act) { f.run.act(a) }
+
 // Cost is what a run took of the machine.
 type Cost struct {
 	Wall        float64 `json:"wall_s"`
@@ -101,7 +117,12 @@
 	}
 	began, cpu := time.Now(), ownCPU()
 	r.world.Begin(r.books, r.act)
+	ended := func() {}
+	if o.Begun != nil {
+		ended = o.Begun(&Field{r})
+	}
 	r.play(ctx)
+	ended()
 	end := r.world.Clock.Now()
 	v := r.books.Finish(end)
 	cost := Cost{Wall: time.Since(began).Seconds(), LabCPU: (ownCPU() - cpu).Seconds(), Connections: r.world.Busiest(), Restarts: r.restarts}
@@ -173,8 +194,29 @@
 	r.mu.Lock()
 	seed := r.rng.Uint64()
 	r.mu.Unlock()
-	return c.Configure(map[string]any{"name": fmt.Sprintf("n%d", c.No), "listen": c.Listen, "discovery": r.world.Discovery(c.No),
-		"seed": strconv.FormatUint(seed, 16), "limits": limits, "known": r.world.Known(c.No), "settings": r.settings(c.No)})
+	all := map[string]any{"name": fmt.Sprintf("n%d", c.No), "listen": c.Listen, "discovery": r.world.Discovery(c.No),
+		"seed": strconv.FormatUint(seed, 16), "limits": limits, "known": r.world.Known(c.No), "settings": r.settings(c.No)}
+	if r.Extra != nil {
+		extra, err := r.Extra(c)
+		if err != nil {
+			return err
+		}
+		lay(all, extra)
+	}
+	return c.Configure(all)
+}
+
+// lay puts one nested configuration over another.
+func lay(over, with map[string]any) {
+	for key, v := range with {
+		if inner, ok := v.(map[string]any); ok {
+			if there, ok := over[key].(map[string]any); ok {
+				lay(there, inner)
+				continue
+			}
+		}
+		over[key] = v
+	}
 }
 
 // settings of a courier: those of the day, and with each reload some that differ from the last ones, so that records are
--- a/lab/proc/proc.go
+++ b/lab/proc/proc.go
@@ -177,6 +177,13 @@
 	return c.cmd != nil && c.wanted
 }
 
+// Running tells whether the process runs, wanted or not.
+func (c *Courier) Running() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cmd != nil
+}
+
 // Used is what all its processes took: time on the processor, and resident memory at most.
 func (c *Courier) Used() (cpu time.Duration, maxRSSKiB int64) {
 	c.mu.Lock()
--- a/ops/ops.go
+++ b/ops/ops.go
@@ -63,6 +63,7 @@
 type Server struct {
 	http    *http.Server
 	courier atomic.Pointer[Courier]
+	fleet   atomic.Pointer[Fleet]
 	log     *slog.Logger
 }
 
@@ -84,6 +85,36 @@
 // Stand puts a courier behind the address.
 func (s *Server) Stand(c Courier) { s.courier.Store(&c) }
 
+// Fleet is what a courier knows of the others.
+type Fleet interface {
+	Look() any // for JSON
+	Gone(name string)
+}
+
+// Know puts a fleet behind the address; without one there is no such call.
+func (s *Server) Know(f Fleet) { s.fleet.Store(&f) }
+
+func (s *Server) peers(w http.ResponseWriter, r *http.Request) {
+	f := s.fleet.Load()
+	if f == nil {
+		http.NotFound(w, r)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode((*f).Look())
+}
+
+func (s *Server) gone(w http.ResponseWriter, r *http.Request) {
+	f := s.fleet.Load()
+	if f == nil {
+		http.NotFound(w, r)
+		return
+	}
+	s.log.Info("call", "what", r.URL.Path, "from", r.RemoteAddr)
+	(*f).Gone(r.PathValue("name"))
+	io.WriteString(w, "done\n")
+}
+
 // Close ends it.
 func (s *Server) Close() error { return s.http.Close() }
 
@@ -96,6 +127,8 @@
 			s.ask(w, r, Maintain{r.PathValue("id"), out})
 		})
 	}
+	mux.HandleFunc("GET /peers", s.peers)
+	mux.HandleFunc("POST /peers/gone/{name}", s.gone)
 	mux.HandleFunc("POST /standby", func(w http.ResponseWriter, r *http.Request) { s.ask(w, r, Away{true}) })
 	mux.HandleFunc("POST /active", func(w http.ResponseWriter, r *http.Request) { s.ask(w, r, Away{false}) })
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- /dev/null
+++ b/peers/gossip/gossip.go
@@ -0,0 +1,443 @@
+// Package gossip carries what a fleet's couriers say of one another: hashicorp/memberlist detects, peers/view decides, and
+// this joins the two with a clock, a network and a log. Nothing here is on a record's way, and nothing waits for it.
+package gossip
+
+import (
+	"context"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"log/slog"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/hashicorp/memberlist"
+
+	"pineport/logic"
+	"pineport/peers/view"
+)
+
+// Options are what a member is told.
+type Options struct {
+	Name      string
+	Start     uint64
+	Couriers  int // of the fleet, as the settings say
+	Fleet     string
+	Zone      string
+	Listen    string
+	Advertise string // where others reach it, if not at Listen
+	Join      []string
+	Through   map[string]string
+	Key       string // hex, of 16, 24 or 32 bytes; empty: none
+	Pace      time.Duration
+	Salt      int64
+	Log       *slog.Logger
+	// Keep writes a start's number down, before it is used.
+	Keep func(start uint64) error
+	// Reckon is told how many couriers the decisions are to reckon with. It must not wait.
+	Reckon func(couriers int)
+	// Transport stands in for sockets, in tests.
+	Transport memberlist.Transport
+}
+
+// Version of what is said beside the detector's own words. Unknown fields are passed over; a later version that may not be
+// read by this one would take another number.
+const Version = 1
+
+// tag is what a member says of itself in every word on it.
+type tag struct {
+	Version int    `cbor:"1,keyasint"`
+	Start   uint64 `cbor:"2,keyasint"`
+	Zone    string `cbor:"3,keyasint,omitempty"`
+	Leaving bool   `cbor:"4,keyasint,omitempty"`
+}
+
+// state is what two members tell each other in full, now and then.
+type state struct {
+	Version int               `cbor:"1,keyasint"`
+	From    string            `cbor:"2,keyasint"`
+	Starts  map[string]uint64 `cbor:"3,keyasint,omitempty"`
+}
+
+// namesake tells a courier that another one of its name is there: who hears of both tells the older start.
+type namesake struct {
+	Version int    `cbor:"1,keyasint"`
+	Name    string `cbor:"2,keyasint"`
+	Start   uint64 `cbor:"3,keyasint"`
+	At      string `cbor:"4,keyasint"`
+}
+
+const (
+	queueSize = 1024 // words that wait for the view; a lost one comes again, from the detector's list
+	nameMost  = 128  // bytes of a name
+	ticks     = 5    // a pace has so many
+	leaveFor  = 500 * time.Millisecond
+)
+
+var decoder = func() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxArrayElements: 16, MaxMapPairs: 8192, MaxNestedLevels: 4}.DecMode()
+	if err != nil {
+		panic(err) // the options are constants
+	}
+	return mode
+}()
+
+// Member is this courier in its fleet.
+type Member struct {
+	o       Options
+	log     *slog.Logger
+	list    *memberlist.Memberlist
+	sockets *sockets // nil: another transport
+	view    *view.View
+	events  chan view.Event
+	begun   time.Time
+	start   atomic.Uint64
+	leaving atomic.Bool
+	aside   atomic.Bool
+	lost    atomic.Int64
+	picture atomic.Pointer[view.Picture]
+	starts  atomic.Pointer[map[view.Name]view.Start]
+	changes map[string]int64 // by the state that was reached; the loop's
+	counted atomic.Pointer[map[string]int64]
+	stop    context.CancelFunc
+	done    sync.WaitGroup
+	end     sync.Once
+}
+
+// Open joins the fleet. Members that cannot be reached are tried again, with pauses.
+func Open(o Options) (*Member, error) {
+	if o.Pace == 0 {
+		o.Pace = time.Second
+	}
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	if len(o.Name) == 0 || len(o.Name) > nameMost {
+		return nil, fmt.Errorf("peers: a name of 1 to %d bytes was expected", nameMost)
+	}
+	key, err := hex.DecodeString(o.Key)
+	if err != nil || len(key) != 0 && len(key) != 16 && len(key) != 24 && len(key) != 32 {
+		return nil, fmt.Errorf("peers.key: 16, 24 or 32 bytes in hex were expected")
+	}
+	m := &Member{o: o, log: o.Log, events: make(chan view.Event, queueSize), begun: time.Now(), changes: map[string]int64{}}
+	m.start.Store(o.Start)
+	m.view = view.New(view.Terms{Self: view.Name(o.Name), Start: view.Start(o.Start), Fleet: o.Couriers, Tick: logic.Micros((o.Pace / ticks).Microseconds()), Salt: o.Salt})
+	m.publish()
+	c := m.settings(key)
+	if o.Transport == nil {
+		if m.sockets, err = listen(o.Listen, o.Advertise, o.Through); err != nil {
+			return nil, fmt.Errorf("peers.listen: %w", err)
+		}
+		c.Transport = m.sockets
+	}
+	if m.list, err = memberlist.Create(c); err != nil {
+		if m.sockets != nil {
+			m.sockets.Shutdown()
+		}
+		return nil, fmt.Errorf("peers: %w", err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	m.stop = cancel
+	m.done.Add(2)
+	go m.run(ctx)
+	go m.join(ctx)
+	return m, nil
+}
+
+func (m *Member) settings(key []byte) *memberlist.Config {
+	c := memberlist.DefaultLANConfig()
+	c.Name, c.Label, c.Transport = m.o.Name, m.o.Fleet, m.o.Transport
+	c.ProbeInterval, c.ProbeTimeout, c.GossipInterval = m.o.Pace, m.o.Pace/2, m.o.Pace/5
+	c.PushPullInterval, c.GossipToTheDeadTime, c.TCPTimeout = 15*m.o.Pace, 30*m.o.Pace, 5*m.o.Pace
+	c.DeadNodeReclaimTime = m.o.Pace // a courier may come back at another address
+	c.Delegate, c.Events, c.Conflict, c.Ping = delegate{m}, delegate{m}, delegate{m}, delegate{m}
+	c.SecretKey, c.LogOutput, c.UDPBufferSize, c.EnableCompression = key, &words{m: m}, 1400, false
+	return c
+}
+
+// join seeks the members that it was told of, until one is found, and then now and then while somebody is missing.
+func (m *Member) join(ctx context.Context) {
+	defer m.done.Done()
+	wait := m.o.Pace
+	for {
+		if p := m.Picture(); p.Standing != view.Whole.String() && len(m.o.Join) > 0 && !m.aside.Load() {
+			if n, err := m.list.Join(m.o.Join); n == 0 {
+				m.log.Debug("nobody reached", "fault", err)
+				wait = min(2*wait, 16*m.o.Pace)
+			} else {
+				wait = 8 * m.o.Pace
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(wait):
+		}
+	}
+}
+
+// run is the one place that asks the view.
+func (m *Member) run(ctx context.Context) {
+	defer m.done.Done()
+	tick := time.NewTicker(m.o.Pace / ticks)
+	defer tick.Stop()
+	for {
+		var events []view.Event
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-m.events:
+			events = append(events, e)
+		case <-tick.C:
+			// Behind what the detector has told already, or what came in while this process stood still would count as old.
+			events = append(events, view.Passed{})
+		}
+		for range len(m.events) {
+			events = append(events, <-m.events)
+		}
+		m.carryOut(m.view.Handle(logic.Micros(time.Since(m.begun).Microseconds())+1, events...))
+		m.publish()
+	}
+}
+
+func (m *Member) publish() {
+	p, starts, counts := m.view.Look(), m.view.Starts(), map[string]int64{}
+	for k, n := range m.changes {
+		counts[k] = n
+	}
+	m.picture.Store(&p)
+	m.starts.Store(&starts)
+	m.counted.Store(&counts)
+}
+
+func (m *Member) carryOut(actions []view.Action) {
+	for _, action := range actions {
+		switch a := action.(type) {
+		case view.Changed:
+			m.changes[a.To.String()]++
+			m.log.Info("member", "name", a.Name, "was", a.From.String(), "is", a.To.String(), "start", uint64(a.Start), "taken_back", a.Revoked)
+		case view.Stands:
+			m.log.Info("standing", "was", a.From.String(), "is", a.To.String())
+		case view.Reckon:
+			m.log.Info("fleet", "couriers", a.Couriers)
+			if m.o.Reckon != nil {
+				m.o.Reckon(a.Couriers)
+			}
+		case view.Renumber:
+			m.renumber(uint64(a.Start))
+		case view.StandBack:
+			m.log.Error("a younger courier of this name is in the fleet: this one stands back, and delivers on by itself", "its_start", uint64(a.Start), "at", a.At)
+			m.aside.Store(true)
+			go m.withdraw()
+		}
+	}
+}
+
+// renumber keeps the number and then tells it; one that cannot be kept is told all the same, as it is higher than any seen.
+func (m *Member) renumber(start uint64) {
+	if m.o.Keep != nil {
+		if err := m.o.Keep(start); err != nil {
+			m.log.Error("the number of this start cannot be kept", "start", start, "fault", err)
+		}
+	}
+	m.log.Warn("this start goes on under a higher number", "start", start)
+	m.start.Store(start)
+	go m.list.UpdateNode(m.o.Pace)
+}
+
+// withdraw ends talking without a word, as the name is another's.
+func (m *Member) withdraw() { m.list.Shutdown() }
+
+// tell puts an event before the view; the detector must not wait.
+func (m *Member) tell(e view.Event) {
+	select {
+	case m.events <- e:
+	default:
+		m.lost.Add(1)
+	}
+}
+
+// Picture is the view as it last stood.
+func (m *Member) Picture() view.Picture { return *m.picture.Load() }
+
+// Figures count what happened, and what it took.
+type Figures struct {
+	Changes map[string]int64 `json:"changes"`
+	Lost    int64            `json:"words_lost"`
+	Health  int              `json:"own_health"` // the detector's doubt in this courier itself, 0 for none
+	Network Counts           `json:"network"`
+}
+
+// Figures are the counts as they stand.
+func (m *Member) Figures() Figures {
+	f := Figures{Changes: *m.counted.Load(), Lost: m.lost.Load(), Health: m.list.GetHealthScore()}
+	if m.sockets != nil {
+		f.Network = m.sockets.counts.read()
+	}
+	return f
+}
+
+// Sized tells that the settings name another number of couriers.
+func (m *Member) Sized(couriers int) { m.tell(view.Sized{Fleet: couriers}) }
+
+// Gone tells that a member will not come back, as an operator says.
+func (m *Member) Gone(name string) { m.tell(view.Gone{Name: view.Name(name)}) }
+
+// Members are the addresses of those heard, for a process that takes over.
+func (m *Member) Members() (at []string) {
+	for _, o := range m.Picture().Members {
+		if o.State != view.Left && o.At != "" {
+			at = append(at, o.At)
+		}
+	}
+	return at
+}
+
+// Start is the number of this start.
+func (m *Member) Start() uint64 { return m.start.Load() }
+
+// Leave says that this courier goes, and ends.
+func (m *Member) Leave() {
+	m.end.Do(func() {
+		if !m.aside.Load() {
+			m.leaving.Store(true)
+			m.list.UpdateNode(leaveFor)
+			m.list.Leave(leaveFor)
+		}
+		m.quit()
+	})
+}
+
+// Hand ends without a word: another process of this courier goes on as the same member.
+func (m *Member) Hand() { m.end.Do(m.quit) }
+
+func (m *Member) quit() {
+	m.stop()
+	m.list.Shutdown()
+	m.done.Wait()
+}
+
+// delegate is what the detector calls.
+type delegate struct{ m *Member }
+
+func (d delegate) NodeMeta(limit int) []byte {
+	text, err := cbor.Marshal(tag{Version: Version, Start: d.m.start.Load(), Zone: d.m.o.Zone, Leaving: d.m.leaving.Load()})
+	if err != nil || len(text) > limit {
+		return nil
+	}
+	return text
+}
+
+// NotifyMsg takes word of a namesake; there is no other.
+func (d delegate) NotifyMsg(text []byte) {
+	var n namesake
+	if decoder.Unmarshal(text, &n) == nil && n.Version == Version && n.Name == d.m.o.Name && len(n.At) <= nameMost {
+		d.m.tell(view.Namesake{Start: view.Start(n.Start), At: n.At})
+	}
+}
+
+func (d delegate) GetBroadcasts(int, int) [][]byte { return nil }
+
+func (d delegate) LocalState(bool) []byte {
+	s := state{Version: Version, From: d.m.o.Name, Starts: map[string]uint64{}}
+	for name, start := range *d.m.starts.Load() {
+		s.Starts[string(name)] = uint64(start)
+	}
+	text, err := cbor.Marshal(s)
+	if err != nil {
+		return nil
+	}
+	return text
+}
+
+func (d delegate) MergeRemoteState(text []byte, _ bool) {
+	var s state
+	if decoder.Unmarshal(text, &s) != nil || s.Version != Version || len(s.From) > nameMost {
+		return
+	}
+	if start, ok := s.Starts[d.m.o.Name]; ok {
+		d.m.tell(view.Claimed{Start: view.Start(start)})
+	}
+	d.m.tell(view.Answered{Name: view.Name(s.From)})
+}
+
+// heard makes a word of the view's out of one of the detector's.
+func (d delegate) heard(n *memberlist.Node, state view.State) {
+	if n.Name == d.m.o.Name {
+		return
+	}
+	var t tag
+	if decoder.Unmarshal(n.Meta, &t) != nil || len(n.Name) > nameMost || len(t.Zone) > nameMost {
+		return
+	}
+	if t.Leaving {
+		state = view.Left
+	}
+	d.m.tell(view.Heard{Name: view.Name(n.Name), Start: view.Start(t.Start), State: state, Zone: t.Zone, At: n.Address()})
+}
+
+func (d delegate) NotifyJoin(n *memberlist.Node)   { d.heard(n, view.Alive) }
+func (d delegate) NotifyUpdate(n *memberlist.Node) { d.heard(n, view.Alive) }
+func (d delegate) NotifyLeave(n *memberlist.Node)  { d.heard(n, view.Failed) }
+
+func (d delegate) NotifyConflict(existing, other *memberlist.Node) {
+	var here, there tag
+	if decoder.Unmarshal(existing.Meta, &here) != nil || decoder.Unmarshal(other.Meta, &there) != nil {
+		return
+	}
+	if other.Name == d.m.o.Name {
+		d.m.tell(view.Namesake{Start: view.Start(there.Start), At: other.Address()})
+		return
+	}
+	older, younger, start := *existing, *other, there.Start
+	if here.Start > there.Start {
+		older, younger, start = *other, *existing, here.Start
+	}
+	text, err := cbor.Marshal(namesake{Version, other.Name, start, younger.Address()})
+	if err == nil { // the detector is not to wait
+		go d.m.list.SendToAddress(memberlist.Address{Addr: older.Address(), Name: older.Name}, text)
+	}
+}
+
+func (d delegate) AckPayload() []byte { return nil }
+func (d delegate) NotifyPingComplete(other *memberlist.Node, _ time.Duration, _ []byte) {
+	d.m.tell(view.Answered{Name: view.Name(other.Name)})
+}
+
+// words is the detector's log. Whom it suspects stands nowhere else; should the line change, nobody is shown as suspected
+// until given up.
+type words struct{ m *Member }
+
+func (w *words) Write(line []byte) (int, error) {
+	text := string(line)
+	if _, rest, ok := strings.Cut(text, "memberlist: Suspect "); ok {
+		if name, _, ok := strings.Cut(rest, " has failed"); ok {
+			w.m.suspect(view.Name(name))
+		}
+	}
+	level := slog.LevelDebug
+	if strings.Contains(text, "[ERR]") {
+		level = slog.LevelInfo
+	}
+	w.m.log.Log(context.Background(), level, "detector", "says", strings.TrimSpace(text))
+	return len(line), nil
+}
+
+func (m *Member) suspect(name view.Name) {
+	for _, o := range m.Picture().Members {
+		if o.Name == name && (o.State == view.Alive || o.State == view.Unknown) {
+			m.tell(view.Heard{Name: name, Start: o.Start, State: view.Suspected, Zone: o.Zone, At: o.At})
+		}
+	}
+}
+
+var (
+	_ memberlist.Delegate         = delegate{}
+	_ memberlist.EventDelegate    = delegate{}
+	_ memberlist.ConflictDelegate = delegate{}
+	_ memberlist.PingDelegate     = delegate{}
+	_ io.Writer                   = (*words)(nil)
+)
--- /dev/null
+++ b/peers/gossip/gossip_test.go
@@ -0,0 +1,261 @@
+package gossip
+
+import (
+	"fmt"
+	"math/rand"
+	"os"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pineport/lab/links"
+	"pineport/peers/view"
+)
+
+// fleet is members in virtual time.
+type fleet struct {
+	t       *testing.T
+	mesh    *links.Mesh
+	members []*Member
+	starts  []uint64
+}
+
+func (f *fleet) begin(i int) {
+	f.starts[i]++
+	m, err := Open(Options{Name: fmt.Sprintf("n%d", i), Start: f.starts[i], Couriers: len(f.members), Join: []string{f.mesh.At(0), f.mesh.At((i + 1) % len(f.members))},
+		Salt: int64(i), Transport: f.mesh.Join(i)})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.members[i] = m
+}
+
+func begin(t *testing.T, n int, seed int64) *fleet {
+	f := &fleet{t: t, mesh: links.NewMesh(n+1, seed), members: make([]*Member, n), starts: make([]uint64, n)}
+	for i := range n {
+		f.begin(i)
+	}
+	return f
+}
+
+func (f *fleet) end() {
+	for _, m := range f.members {
+		m.Hand()
+	}
+	time.Sleep(time.Minute) // what the detector has under way runs out
+}
+
+// settle waits for a state of all but some, and returns how long that took.
+func (f *fleet) settle(within time.Duration, all func(i int, m *Member) bool, but ...int) time.Duration {
+	f.t.Helper()
+	begun := time.Now()
+	for time.Since(begun) < within {
+		ok := true
+		for i, m := range f.members {
+			skip := false
+			for _, b := range but {
+				skip = skip || b == i
+			}
+			ok = ok && (skip || all(i, m))
+		}
+		if ok {
+			return time.Since(begun)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	for i, m := range f.members {
+		if p := m.Picture(); !all(i, m) && i < 40 {
+			f.t.Errorf("n%d: %s, %d to %d couriers", i, p.Standing, p.Least, p.Most)
+		}
+	}
+	f.t.FailNow()
+	return 0
+}
+
+func whole(_ int, m *Member) bool { return m.Picture().Standing == view.Whole.String() }
+
+func stateOf(m *Member, name string) view.State {
+	for _, o := range m.Picture().Members {
+		if string(o.Name) == name {
+			return o.State
+		}
+	}
+	return view.Unknown
+}
+
+// TestFaultsFromSeeds: whatever strikes the network, once it is over all know of all again, nobody counted fewer meanwhile,
+// and no part of the fleet took the rest for gone.
+func TestFaultsFromSeeds(t *testing.T) {
+	seeds, n := 12, 24
+	if s, err := strconv.Atoi(os.Getenv("PINEPORT_SEEDS")); err == nil {
+		seeds = s
+	}
+	for seed := range seeds {
+		synctest.Test(t, func(t *testing.T) {
+			f := begin(t, n, int64(seed))
+			defer f.end()
+			f.settle(2*time.Minute, whole)
+			for _, fault := range links.Draw(int64(seed), 4, n, 120) {
+				end := f.mesh.Begin(fault)
+				for range int(fault.Length * 10) {
+					time.Sleep(100 * time.Millisecond)
+					for i, m := range f.members {
+						if p := m.Picture(); p.Most < n {
+							t.Fatalf("seed %d, %s: n%d counts %d", seed, fault.Kind, i, p.Most)
+						}
+					}
+				}
+				if err := end(); err != nil {
+					t.Errorf("seed %d: %v", seed, err)
+				}
+			}
+			f.settle(3*time.Minute, whole)
+		})
+	}
+}
+
+// TestThreeHundred: three hundred members find each other; a tenth dies, is known to be dead, and comes back.
+func TestThreeHundred(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := 300
+		f := begin(t, n, 1)
+		defer f.end()
+		t.Logf("whole after %v", f.settle(3*time.Minute, whole))
+		var dead []int
+		for i := 0; i < n; i += 10 {
+			dead = append(dead, i)
+			f.mesh.Drop(i)
+			f.members[i].Hand()
+		}
+		took := f.settle(3*time.Minute, func(_ int, m *Member) bool {
+			p := m.Picture()
+			return p.Least == n-len(dead) && p.Most == n
+		}, dead...)
+		t.Logf("thirty deaths known by all after %v", took)
+		for _, i := range dead {
+			f.begin(i)
+		}
+		t.Logf("whole again after %v", f.settle(3*time.Minute, whole))
+	})
+}
+
+// TestPartitionAndHeal: cut in two, then otherwise in two: each side counts all, and after the heal nothing is taken for dead.
+func TestPartitionAndHeal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := 9
+		f := begin(t, n, 3)
+		defer f.end()
+		f.settle(time.Minute, whole)
+		for _, side := range [][]int{{0, 1, 2}, {3, 4, 5}} {
+			end := f.mesh.Begin(links.Fault{Kind: "cut", From: side})
+			f.settle(time.Minute, func(i int, m *Member) bool {
+				p := m.Picture()
+				inside := 6
+				for _, s := range side {
+					if s == i {
+						inside = 3
+					}
+				}
+				return p.Least == inside && p.Most == n && p.Standing == view.Part.String()
+			})
+			if err := end(); err != nil {
+				t.Error(err)
+			}
+			f.settle(2*time.Minute, whole)
+		}
+	})
+}
+
+// TestOneWay: A hears B, B hears C, C hears A only. Nobody is counted fewer, and it heals.
+func TestOneWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := begin(t, 3, 5)
+		defer f.end()
+		f.settle(time.Minute, whole)
+		var ends []func() error
+		for _, p := range [][2]int{{0, 1}, {1, 2}, {2, 0}} {
+			ends = append(ends, f.mesh.Begin(links.Fault{Kind: "one-way", From: p[:1], To: p[1:]}))
+		}
+		time.Sleep(40 * time.Second)
+		for i, m := range f.members {
+			if p := m.Picture(); p.Most != 3 {
+				t.Errorf("n%d counts %d", i, p.Most)
+			}
+		}
+		for _, end := range ends {
+			end()
+		}
+		f.settle(2*time.Minute, whole)
+	})
+}
+
+// TestLeaveAndReturn: who leaves by word is not taken for dead, and is back with its next start alone.
+func TestLeaveAndReturn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := begin(t, 5, 7)
+		defer f.end()
+		f.settle(time.Minute, whole)
+		f.members[2].Leave()
+		f.settle(time.Minute, func(_ int, m *Member) bool { return stateOf(m, "n2") == view.Left }, 2)
+		f.begin(2)
+		f.settle(time.Minute, whole)
+		for i, m := range f.members {
+			if m.Picture().Revoked != 0 {
+				t.Errorf("n%d believed in a death", i)
+			}
+		}
+	})
+}
+
+// TestOldNumberAndNamesake: one that comes back from an older copy of its folder goes on under a higher number; of two of one
+// name the older start stands back.
+func TestOldNumberAndNamesake(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := begin(t, 5, 9)
+		defer f.end()
+		f.settle(time.Minute, whole)
+		for range 3 { // its number grows to 4
+			f.members[1].Leave()
+			f.begin(1)
+			f.settle(time.Minute, whole)
+		}
+		f.mesh.Drop(1)
+		f.members[1].Hand()
+		f.starts[1] = 0 // the folder is an older copy
+		f.begin(1)
+		f.settle(time.Minute, func(_ int, m *Member) bool { return whole(0, m) && f.members[1].Start() > 4 })
+
+		twin, err := Open(Options{Name: "n1", Start: 5000, Couriers: 5, Join: []string{f.mesh.At(0)}, Transport: f.mesh.Join(5)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer twin.Hand()
+		f.settle(2*time.Minute, func(i int, m *Member) bool {
+			return i != 1 || m.Picture().Standing == view.Aside.String()
+		})
+	})
+}
+
+// TestHostileWords: what does not make sense changes nothing and stops nothing.
+func TestHostileWords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := begin(t, 3, 11)
+		defer f.end()
+		f.settle(time.Minute, whole)
+		rng := rand.New(rand.NewSource(1))
+		from := f.mesh.Join(0)
+		f.members[0].Hand()
+		for range 2000 {
+			junk := make([]byte, rng.Intn(1400))
+			rng.Read(junk)
+			if len(junk) > 0 && rng.Intn(2) == 0 {
+				junk[0] = byte(rng.Intn(14)) // a kind of word that there is
+			}
+			from.WriteTo(junk, f.mesh.At(1))
+			delegate{f.members[1]}.MergeRemoteState(junk, false)
+		}
+		f.begin(0)
+		f.settle(2*time.Minute, whole)
+	})
+}
--- /dev/null
+++ b/peers/identity/identity.go
@@ -0,0 +1,67 @@
+// Package identity keeps the number of a courier's starts over restarts: it grows with each, and is written down before it
+// is used.
+package identity
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"pineport/sealed"
+)
+
+// Name of the file, in the folder that lasts.
+const Name = "peers.start"
+
+const (
+	magic   = "PPST"
+	version = 1
+	limit   = 1 << 10
+)
+
+// kept is the file's text.
+type kept struct {
+	Courier string `json:"courier"`
+	Start   uint64 `json:"start"`
+}
+
+// Next takes the next number and keeps it. What cannot be read begins anew at 1, and the fault is told beside the number:
+// the others remember higher ones, and tell them.
+func Next(dir, courier string) (start uint64, fault error, err error) {
+	last, fault := read(dir, courier)
+	start = last + 1
+	return start, fault, Keep(dir, courier, start)
+}
+
+// Keep writes a number down.
+func Keep(dir, courier string, start uint64) error {
+	text, err := json.Marshal(kept{courier, start})
+	if err != nil {
+		return err
+	}
+	return sealed.Write(dir, Name, sealed.Seal(magic, version, text))
+}
+
+func read(dir, courier string) (uint64, error) {
+	content, err := sealed.Read(dir, Name, limit)
+	if errors.Is(err, sealed.ErrAbsent) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, err
+	}
+	v, text, err := sealed.Open(magic, content)
+	if err != nil {
+		return 0, err
+	}
+	var k kept
+	switch err := json.Unmarshal(text, &k); {
+	case v != version:
+		return 0, fmt.Errorf("version %d, this program reads %d", v, version)
+	case err != nil:
+		return 0, err
+	case k.Courier != courier:
+		return 0, fmt.Errorf("of courier %q, this is %q", k.Courier, courier)
+	}
+	return k.Start, nil
+}
--- /dev/null
+++ b/routing/fleet.go
@@ -0,0 +1,31 @@
+package routing
+
+import (
+	"pineport/handover"
+	"pineport/logic"
+)
+
+// Reckon has the decisions reckon with so many couriers from the next turn on. It never waits, and no turn waits for it:
+// whatever becomes of the fleet's membership, records flow.
+func (r *Router) Reckon(couriers int) { r.couriers.Store(int64(couriers)) }
+
+// Parted has f give up this process's place in the fleet, at the instant at which another one takes over.
+func (r *Router) Parted(f func() *handover.Peers) { r.parted = f }
+
+// charter is the settings' own, with as many couriers as the fleet counts where that is more: a part of a limit can only
+// become smaller by what others say.
+func (r *Router) charter() logic.Charter {
+	ch := r.dep.Charter
+	ch.Couriers = max(ch.Couriers, int(r.reckoned))
+	return ch
+}
+
+func (r *Router) reckon() {
+	if n := r.couriers.Load(); n != r.reckoned {
+		before := r.charter().Couriers
+		r.reckoned = n
+		if ch := r.charter(); ch.Couriers != before {
+			r.events = append(r.events, logic.Rechartered{Charter: ch})
+		}
+	}
+}
--- a/routing/kin.go
+++ b/routing/kin.go
@@ -143,6 +143,9 @@
 	r := k.r
 	s := &handover.State{Lore: r.fresh(), Seq: r.platform.seq, Waits: maps.Clone(r.waits), Gone: slices.Sorted(maps.Keys(r.staff.out)),
 		Away: r.staff.away()}
+	if r.parted != nil {
+		s.Peers = r.parted()
+	}
 	for _, id := range slices.Sorted(maps.Keys(r.hosts)) {
 		s.Hosts = append(s.Hosts, r.hosts[id])
 	}
--- a/routing/router.go
+++ b/routing/router.go
@@ -12,6 +12,7 @@
 	"net"
 	"runtime/debug"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"pineport/config"
@@ -95,6 +96,9 @@
 	staff    staff
 	kin      kin
 	reloaded func(*config.Deployment) // told of each configuration taken over
+	parted   func() *handover.Peers   // gives up this process's place in the fleet
+	couriers atomic.Int64             // that the fleet counts, 0 where nobody does
+	reckoned int64
 	endBy    logic.Micros
 	leaving  bool
 	partAt   logic.Micros // from here on clients' connections are closed between requests
@@ -109,7 +113,7 @@
 	r.tracer = log.With(logs.Component, "decisions")
 	r.baseUnix = logic.Micros(r.base.UnixMicro())
 	r.now = r.baseUnix
-	r.begin = func() decider { return logic.New(r.dep.Charter) }
+	r.begin = func() decider { return logic.New(r.charter()) }
 	r.courier = r.begin()
 	r.watch.start(r)
 	r.links.init(r)
@@ -343,6 +347,7 @@
 		r.wakeAt = never
 		r.events = append(r.events, logic.Woken{})
 	}
+	r.reckon()
 	for len(r.events) > 0 {
 		events := r.events
 		r.events = nil
