--- /dev/null
+++ b/lab/fleet/fleet_test.go
@@ -0,0 +1,101 @@
+package fleet
+
+import (
+	"context"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"pineport/lab/links"
+)
+
+// binary builds the courier once for all tests.
+func binary(t *testing.T) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "pineport")
+	if out, err := exec.Command("go", "build", "-o", path, "pineport/cmd/pineport").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	return path
+}
+
+// TestProcesses: ten real couriers through kill, stop, a one-way cut, a partition and its heal, an old folder, none and another
+// address, under load. Bounds are counts, or wide: the verdict is the same on any machine.
+func TestProcesses(t *testing.T) {
+	p := &Plan{Day: "calm", Couriers: 10, Length: 24, Load: 3, Faults: []links.Fault{
+		{Kind: Kill, At: 2, Length: 3, From: []int{1, 2}},
+		{Kind: Stop, At: 3, Length: 4, From: []int{3}},
+		{Kind: "one-way", At: 3, Length: 4, From: []int{4}, To: []int{5}},
+		{Kind: "cut", At: 8, Length: 5, From: []int{0, 6, 7}},
+		{Kind: Older, At: 14, Length: 2, From: []int{1}},
+		{Kind: Empty, At: 14, Length: 2, From: []int{2}},
+		{Kind: Address, At: 15, Length: 2, From: []int{8}},
+	}}
+	if err := p.check("here"); err != nil {
+		t.Fatal(err)
+	}
+	var trace strings.Builder
+	res, err := Play(context.Background(), p, Options{Binary: binary(t), Seed: 1, Peers: true, Trace: &trace})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !res.Verdict.OK() {
+		t.Errorf("rules: %s %+v", res.Verdict.Short(), res.Verdict.Breaches)
+	}
+	if res.Fewer > 0 {
+		t.Errorf("at %d looks a courier reckoned with fewer than there are", res.Fewer)
+	}
+	if !res.Whole {
+		t.Error("the fleet was not whole again within 40 s of the last fault")
+	}
+	for _, idle := range res.Idle {
+		t.Error(idle)
+	}
+	// Each of five deaths is seen by most of those that were up and not cut off.
+	if len(res.Deaths) < 20 || len(res.Returns) < 20 {
+		t.Errorf("%d deaths and %d returns were seen", len(res.Deaths), len(res.Returns))
+	}
+	if !strings.Contains(trace.String(), `"what":"cut"`) {
+		t.Error("the trace does not show the cut")
+	}
+	t.Logf("%v; %d records done, longest until a death was known %.1f s", res.Struck, res.Verdict.Counts.Done, longest(res.Deaths))
+}
+
+func longest(all []float64) (most float64) {
+	for _, s := range all {
+		most = max(most, s)
+	}
+	return most
+}
+
+// TestIdleFaultsAreTold: a fault that never struck fails a run.
+func TestIdleFaultsAreTold(t *testing.T) {
+	n, err := links.Open(1, []string{"127.0.0.1:9", "127.0.0.1:9"}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer n.Close()
+	end := n.Begin(links.Fault{Kind: "cut", From: []int{0}})
+	time.Sleep(10 * time.Millisecond)
+	if end() == nil {
+		t.Error("a cut over which nothing went passes for one that struck")
+	}
+}
+
+// TestDaysAreSound: every day that comes along can be read.
+func TestDaysAreSound(t *testing.T) {
+	for _, name := range Days() {
+		if _, err := Find(name); err != nil {
+			t.Error(err)
+		}
+	}
+	bad := filepath.Join(t.TempDir(), "bad.toml")
+	if _, err := Find(bad); err == nil {
+		t.Error("a day that is not there")
+	}
+	if err := (&Plan{Length: 5, Faults: []links.Fault{{Kind: "nonsense", Length: 1}}}).check("x"); err == nil {
+		t.Error("a fault of no kind")
+	}
+}
--- a/lab/ledger/ledger.go
+++ b/lab/ledger/ledger.go
@@ -106,6 +106,7 @@
 	ranAt   logic.Micros
 	ranZone logic.ZoneID
 	out     int
+	unheard bool // its answer went to a courier that was killed then, and may not have been read
 }
 
 type trip struct {
@@ -159,6 +160,7 @@
 	told     map[toldKey]logic.Micros
 	waits    map[waitKey]wait
 	downs    map[int][]down
+	killed   map[int]logic.Micros
 	outages  map[routeKey]*outage
 	shares   []share
 	breaches map[Rule]*breach
@@ -175,7 +177,7 @@
 // New begins the books of a day.
 func New(setup Setup) *Ledger {
 	return &Ledger{setup: setup, origins: map[logic.RecordID]*origin{}, records: map[logic.RecordID]*record{},
-		lines: map[keyOf]*line{}, told: map[toldKey]logic.Micros{}, waits: map[waitKey]wait{}, downs: map[int][]down{},
+		lines: map[keyOf]*line{}, told: map[toldKey]logic.Micros{}, waits: map[waitKey]wait{}, downs: map[int][]down{}, killed: map[int]logic.Micros{},
 		outages: map[routeKey]*outage{}, shares: make([]share, len(setup.Quotas)), breaches: map[Rule]*breach{},
 		series: series{dests: map[logic.DestID]*DestSeries{}}, latency: newLatencies(setup.Workloads)}
 }
@@ -286,6 +288,8 @@
 		line.restTo = max(line.restTo, at+l.setup.KeyRest)
 	}
 	if o == logic.Done {
+		_, dead := l.killed[r.courier]
+		r.unheard = r.unheard || dead && r.end == Open
 		l.delivered(at, r)
 	}
 }
@@ -446,10 +450,22 @@
 	}
 }
 
+// Killed: a courier was ended outright. An answer that was on its way to it then may not have been read: what it was for may
+// go again, as far as its workload allows.
+func (l *Ledger) Killed(at logic.Micros, courier int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.killed[courier] = at
+	for _, r := range l.all {
+		r.unheard = r.unheard || r.courier == courier && r.end == Delivered && r.endAt+l.setup.Leeway >= at
+	}
+}
+
 // Back: a courier serves again.
 func (l *Ledger) Back(at logic.Micros, courier int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	delete(l.killed, courier)
 	for i, d := range l.downs[courier] {
 		if d.to == math.MaxInt64 {
 			l.downs[courier][i].to = at + l.setup.Excused
--- a/lab/live/live.go
+++ b/lab/live/live.go
@@ -291,6 +291,7 @@
 	case day.Kills:
 		if c.Up() {
 			r.books.Down(now, a.Courier, false, false)
+			r.books.Killed(now, a.Courier)
 		}
 		c.Kill()
 	case day.Asks:
