Over an upgrade a courier is one member; where the charter bars talk there is no socket and no byte

Tests with real processes: three upgrades under load, one member with one start throughout, nobody gives it up; a planned end is heard as left; the next start has the next number. With the key set and the charter without peers: no UDP socket, nobody listens, no byte to the member named, no file, /peers answers 404, and the log says why. pineport peers ls and show against a running courier.

--- /dev/null
+++ b/cmd/pineport/peers_test.go
@@ -0,0 +1,170 @@
+package main
+
+import (
+	"encoding/json"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"pineport/peers/gossip"
+	"pineport/peers/identity"
+)
+
+// talk has a courier's file allow talk, or not, and name an address for it.
+func talk(t *testing.T, dir string, allowed bool, join ...string) (listen string) {
+	t.Helper()
+	file := filepath.Join(dir, "config.json")
+	text, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var top map[string]any
+	if err := json.Unmarshal(text, &top); err != nil {
+		t.Fatal(err)
+	}
+	listen = freePort(t)
+	top["peers"] = map[string]any{"listen": listen, "pace_s": 0.1, "fleet": "f", "join": join}
+	top["settings"].(map[string]any)["ceilings"].(map[string]any)["peers"] = allowed
+	if text, err = json.Marshal(top); err == nil {
+		err = os.WriteFile(file, text, 0o600)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	return listen
+}
+
+// footprint is what a process holds: sockets it listens on or has open over UDP, and threads.
+func footprint(t *testing.T, pid int) (udp, threads int) {
+	t.Helper()
+	dir := filepath.Join("/proc", strconv.Itoa(pid))
+	inodes := map[string]bool{}
+	for _, table := range []string{"udp", "udp6"} {
+		text, err := os.ReadFile(filepath.Join(dir, "net", table))
+		if err != nil {
+			continue
+		}
+		for _, line := range strings.Split(string(text), "\n")[1:] {
+			if f := strings.Fields(line); len(f) > 9 {
+				inodes["socket:["+f[9]+"]"] = true
+			}
+		}
+	}
+	fds, err := os.ReadDir(filepath.Join(dir, "fd"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, fd := range fds {
+		if to, err := os.Readlink(filepath.Join(dir, "fd", fd.Name())); err == nil && inodes[to] {
+			udp++
+		}
+	}
+	tasks, err := os.ReadDir(filepath.Join(dir, "task"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return udp, len(tasks)
+}
+
+// TestNoTalkWhereBarred: where the charter has no peers, as at Dakar, there is no socket and no byte, the key set or not, and
+// nothing is counted or kept of it.
+func TestNoTalkWhereBarred(t *testing.T) {
+	w := upgradeWorld(t)
+	heard, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer heard.Close()
+	c := newCourier(t, w)
+	c.ops = freePort(t)
+	listen := talk(t, c.dir, false, heard.LocalAddr().String())
+	c.start()
+	time.Sleep(500 * time.Millisecond) // five paces
+	if udp, _ := footprint(t, c.cmd.Process.Pid); udp != 0 {
+		t.Errorf("%d UDP sockets", udp)
+	}
+	l, err := net.Listen("tcp", listen)
+	if err != nil {
+		t.Errorf("somebody listens at peers.listen: %v", err)
+	} else {
+		l.Close()
+	}
+	heard.SetReadDeadline(time.Now().Add(10 * time.Millisecond))
+	if n, _, err := heard.ReadFrom(make([]byte, 100)); err == nil {
+		t.Errorf("%d bytes were sent to a member", n)
+	}
+	if _, err := os.Stat(filepath.Join(c.dir, "state", identity.Name)); err == nil {
+		t.Error("a start is numbered")
+	}
+	if status, _ := c.call("GET", "/peers"); status != 404 {
+		t.Errorf("/peers: %d", status)
+	}
+	if !strings.Contains(c.said(), "settings.ceilings.peers") {
+		t.Error("the log does not say why there is no membership")
+	}
+}
+
+// TestUpgradeIsOneMember: over an upgrade the fleet sees one member with one start, never given up; a restart is a new start.
+func TestUpgradeIsOneMember(t *testing.T) {
+	w := upgradeWorld(t)
+	p := newPlatform(t, w)
+	at := talk(t, p.dir, true)
+	other, err := gossip.Open(gossip.Options{Name: "other", Start: 1, Couriers: 2, Fleet: "f", Listen: freePort(t), Join: []string{at}, Pace: 100 * time.Millisecond})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.Hand()
+	seen := func() (state string, start uint64) {
+		for _, m := range other.Picture().Members {
+			if m.Name == "n0" {
+				return m.State.String(), uint64(m.Start)
+			}
+		}
+		return "", 0
+	}
+	old := p.begin(p.binary)
+	p.must(old)
+	waitFor(t, "the courier to be heard", 10*time.Second, func() bool { s, _ := seen(); return s == "alive" })
+	_, first := seen()
+	load := p.steady(4)
+	for range 3 {
+		next := p.begin(p.binary)
+		p.must(next)
+		p.leave(old)
+		p.ended.Wait()
+		waitFor(t, "the heir to be heard", 10*time.Second, func() bool {
+			udp, _ := footprint(t, next.cmd.Process.Pid)
+			s, _ := seen()
+			return udp == 1 && s == "alive"
+		})
+		time.Sleep(time.Second) // ten paces: longer than a suspicion lasts among two
+		if s, start := seen(); s != "alive" || start != first {
+			t.Errorf("after an upgrade it is %s, start %d; it was %d", s, start, first)
+		}
+		old = next
+	}
+	load.end(w, 3)
+	out, err := tool("peers", "ls", "--ops", old.ops)
+	if err != nil || !strings.Contains(out, "other") || !strings.Contains(out, "whole") {
+		t.Errorf("peers ls: %v\n%s", err, out)
+	}
+	if out, err := tool("peers", "show", "other", "--ops", old.ops, "--output", "json"); err != nil || !strings.Contains(out, `"state": "alive"`) {
+		t.Errorf("peers show: %v\n%s", err, out)
+	}
+	if _, err := tool("peers", "show", "nobody", "--ops", old.ops); err == nil {
+		t.Error("a member that is not there is shown")
+	}
+	p.leave(old)
+	p.ended.Wait()
+	waitFor(t, "word that it left", 10*time.Second, func() bool { s, _ := seen(); return s == "left" })
+	last := p.begin(p.binary)
+	p.must(last)
+	waitFor(t, "its next start", 10*time.Second, func() bool { s, start := seen(); return s == "alive" && start == first+1 })
+	if other.Picture().Revoked > 0 {
+		t.Errorf("%d deaths were believed that were none", other.Picture().Revoked)
+	}
+}
