--- a/lab/links/mesh.go
+++ b/lab/links/mesh.go
@@ -50,6 +50,16 @@
 	return i, i < len(m.nodes)
 }
 
+// Traffic is what all members have sent: packets, and bytes of them.
+func (m *Mesh) Traffic() (packets, bytes int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, n := range m.nodes {
+		packets, bytes = packets+n.Sent, bytes+n.Bytes
+	}
+	return packets, bytes
+}
+
 // Join puts a member on the network, anew if it was there before.
 func (m *Mesh) Join(i int) *Node {
 	m.mu.Lock()
--- a/peers/gossip/gossip_test.go
+++ b/peers/gossip/gossip_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand"
 	"os"
+	"runtime"
 	"strconv"
 	"testing"
 	"testing/synctest"
@@ -259,3 +260,31 @@
 		f.settle(2*time.Minute, whole)
 	})
 }
+
+// TestGrowth tells, with PINEPORT_GROWTH set, what talk costs each member of fleets of 10 to 1,000 in virtual time, and how long
+// a death takes to be known.
+func TestGrowth(t *testing.T) {
+	if os.Getenv("PINEPORT_GROWTH") == "" {
+		t.Skip("PINEPORT_GROWTH is not set")
+	}
+	for _, n := range []int{10, 30, 100, 300, 1000} {
+		synctest.Test(t, func(t *testing.T) {
+			f := begin(t, n, 1)
+			defer f.end()
+			found := f.settle(10*time.Minute, whole)
+			sent, bytes := f.mesh.Traffic()
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			time.Sleep(time.Minute)
+			sent2, bytes2 := f.mesh.Traffic()
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			f.mesh.Drop(n / 2)
+			f.members[n/2].Hand()
+			first := f.settle(10*time.Minute, func(i int, m *Member) bool { return i != 0 || stateOf(m, fmt.Sprintf("n%d", n/2)) == view.Failed }, n/2)
+			all := f.settle(10*time.Minute, func(_ int, m *Member) bool { return stateOf(m, fmt.Sprintf("n%d", n/2)) == view.Failed }, n/2)
+			t.Logf("%4d members: whole after %v; %.1f packets/s and %.0f bytes/s each; %.0f kB of heap each; a death known to one after %v, to the last %v later",
+				n, found, float64(sent2-sent)/60/float64(n), float64(bytes2-bytes)/60/float64(n), float64(after.HeapAlloc)/1024/float64(n), first, all)
+		})
+	}
+}
