--- a/logic/logic.go
+++ b/logic/logic.go
@@ -494,9 +494,6 @@
 	}
 	r.last = ep
 	c.ran(r, o, t.sent, ep.Zone)
-	if o == Full && c.base(ep.route) < rare {
-		r.restTo = c.now + max(e.Wait, Micros(c.pressed(ep.route)*float64(gapCeiling/2+Micros(c.rng.Int63n(int64(3*gapCeiling/2))))))
-	}
 	if e.Over {
 		c.end(r)
 	}
@@ -642,13 +639,8 @@
 	case c.base(rt) >= rare:
 		return rt.left
 	}
-	return rt.left + (1-c.pressed(rt))*float64(c.now-rt.toldAt)/float64(10*second)
-}
-
-// pressed is how much couriers together press on limits of a kind: wholly from one call in seven refused.
-func (c *Courier) pressed(rt *route) float64 {
 	q := c.refused[rt.dest.kind].fade(c.now, rateOver)
-	return min(1, 7*q.sum/(q.weight+3))
+	return rt.left + max(0, 1-7*q.sum/(q.weight+3))*float64(c.now-rt.toldAt)/float64(10*second)
 }
 
 // base is this courier's part of what a route can do, in calls a second: listed, reported, or else seen.
@@ -851,10 +843,6 @@
 func (c *Courier) place(r *record) (best *endpoint, trial bool) {
 	var spare *endpoint
 	least := 0
-	if r.restTo > c.now {
-		c.look(r.restTo)
-		return nil, false
-	}
 	for _, ep := range r.dest.endpoints {
 		if !c.fits(r, ep) {
 			continue
--- a/logic/state.go
+++ b/logic/state.go
@@ -104,7 +104,6 @@
 	trips   []*trip
 	out     int // trips without an outcome
 	refused int // trips turned away unseen
-	restTo  Micros
 	ended   bool
 	queued  bool
 	ranAt   Micros // when the first trip that may have run was sent
