--- a/logic/logic.go
+++ b/logic/logic.go
@@ -851,10 +851,6 @@
 			c.look(at)
 			continue
 		}
-		if at := max(ep.restTo, ep.runs[r.class].restTo); at > c.now && r.work.Repeat == SingleUse {
-			c.look(at)
-			continue
-		}
 		if max(ep.restTo, ep.runs[r.class].restTo) > c.now || ep == r.last {
 			spare = cmp.Or(spare, ep)
 			continue
