--- a/lab/proc/proc.go
+++ b/lab/proc/proc.go
@@ -95,9 +95,6 @@
 	c.mu.Lock()
 	c.user += cmd.ProcessState.UserTime()
 	c.system += cmd.ProcessState.SystemTime()
-	if u, ok := cmd.ProcessState.SysUsage().(*syscall.Rusage); ok {
-		c.maxRSS = max(c.maxRSS, u.Maxrss)
-	}
 	unasked := c.wanted && c.cmd == cmd
 	if c.cmd == cmd {
 		c.cmd = nil
@@ -155,10 +152,28 @@
 		c.wanted = false
 	}
 	if c.cmd != nil {
+		if s == syscall.SIGTERM || s == syscall.SIGKILL {
+			c.maxRSS = max(c.maxRSS, peak(c.cmd.Process.Pid))
+		}
 		c.cmd.Process.Signal(s)
 	}
 }
 
+// peak is the most that a process had resident, in KiB. What the system counts for a child that has ended takes in the
+// laboratory's own memory, of which it was a copy for a moment.
+func peak(pid int) (kib int64) {
+	text, err := os.ReadFile(filepath.Join("/proc", strconv.Itoa(pid), "status"))
+	if err != nil {
+		return 0
+	}
+	for _, line := range strings.Split(string(text), "\n") {
+		if rest, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+			kib, _ = strconv.ParseInt(strings.TrimSuffix(strings.TrimSpace(rest), " kB"), 10, 64)
+		}
+	}
+	return kib
+}
+
 // Kill ends the process outright and waits for its end.
 func (c *Courier) Kill() {
 	c.Signal(syscall.SIGKILL)
--- a/peers/gossip/gossip.go
+++ b/peers/gossip/gossip.go
@@ -184,7 +184,7 @@
 	defer m.done.Done()
 	tick := time.NewTicker(m.o.Pace / ticks)
 	defer tick.Stop()
-	for {
+	for passed := 0; ; {
 		var events []view.Event
 		select {
 		case <-ctx.Done():
@@ -194,12 +194,17 @@
 		case <-tick.C:
 			// Behind what the detector has told already, or what came in while this process stood still would count as old.
 			events = append(events, view.Passed{})
+			passed++
 		}
 		for range len(m.events) {
 			events = append(events, <-m.events)
 		}
-		m.carryOut(m.view.Handle(logic.Micros(time.Since(m.begun).Microseconds())+1, events...))
-		m.publish()
+		actions := m.view.Handle(logic.Micros(time.Since(m.begun).Microseconds())+1, events...)
+		m.carryOut(actions)
+		if len(actions) > 0 || passed >= ticks { // who answered last may be shown a pace late
+			passed = 0
+			m.publish()
+		}
 	}
 }
 
