Settings that can't be meant are refused by key on the simulator's wire too, and contradictions in files

A quoted time after its cut-off, a key or pairs of peers that can't be read: refused at the start by file, line and key in the courier; on the wire ranges and words are held against the same schema, by line and key, and the other couriers go on.

--- a/cmd/pineport/tools_test.go
+++ b/cmd/pineport/tools_test.go
@@ -38,6 +38,7 @@
 	next := write("next.toml", strings.Replace(strings.Replace(config.Example(), "slots = 20", "slots = 10", 1), `name = "n0"`, `name = "n1"`, 1))
 	odd := write("odd.toml", strings.Replace(config.Example(), "[limits]", "[limits]\nmemory_md = 9", 1))
 	bad := write("bad.toml", strings.Replace(config.Example(), "slots = 20", "slots = 0", 1))
+	late := write("late.toml", strings.Replace(config.Example(), "slo-s = ", "slo-s = 7", 1))
 	for _, c := range []struct {
 		args  string
 		want  string
@@ -47,6 +48,9 @@
 		{"config check " + odd, "limits.memory_mb?", ""},
 		{"config check --strict " + odd, "", "limits.memory_md: no such key"},
 		{"config check " + bad, "", "settings.family-info.slots: a count from 1"},
+		{"config check " + late, "", "slo-s: not after deadline-s"},
+		{"config check " + good + " --set peers.key=abc", "", "peers.key: 16, 24 or 32 bytes"},
+		{"config check " + good + " --set peers.through=1.2.3.4:5", "", "peers.through: address:port=address:port"},
 		{"config check " + next + " --against " + good, "waits for the next start", ""},
 		{"config explain settings.family-info.slots --config " + good, "now: settings.family-info.slots = 20 (good.toml:", ""},
 		{"config explain settings.family-info.slot", "", "settings.family-info.slots?"},
--- a/config/charter.go
+++ b/config/charter.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -52,6 +54,22 @@
 // Micros turns seconds into the decisions' unit.
 func Micros(seconds float64) logic.Micros { return logic.Micros(math.Round(seconds * 1e6)) }
 
+// Sound holds settings that come without a file, by their paths, against the schema: the first key whose value doesn't fit, or
+// can't hold beside another, is told. Keys that nobody knows are passed over.
+func Sound(values map[string]string) error {
+	for _, path := range slices.Sorted(maps.Keys(values)) {
+		text := values[path]
+		k, ok := Lookup("settings." + path)
+		if ok && !k.Unread && text != "" && text != "-" && !k.fits(text) {
+			return Fault{Key: path, Expected: fmt.Sprintf("%s was expected, not %q", k.Expects(), text)}
+		}
+		if cut := strings.TrimSuffix(path, "slo-s") + "deadline-s"; strings.HasSuffix(path, ".slo-s") && later(text, values[cut]) {
+			return Fault{Key: path, Expected: fmt.Sprintf("not after deadline-s of %s s, but %s s", values[cut], text)}
+		}
+	}
+	return nil
+}
+
 // Charter decodes what a courier is handed at its start: values by path, such as classes.0.points.
 func Charter(salt int64, values map[string]string) (logic.Charter, error) {
 	p := &pairs{values: values, prefix: "settings."}
--- a/config/decode.go
+++ b/config/decode.go
@@ -24,6 +24,9 @@
 
 func (f Fault) Error() string {
 	at := f.File
+	if at == "" {
+		return f.Key + ": " + f.Expected
+	}
 	if f.Line > 0 {
 		at += ":" + strconv.Itoa(f.Line)
 	}
--- a/config/document.go
+++ b/config/document.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -163,7 +164,8 @@
 	d.contradictions()
 }
 
-// contradictions warns of settings that are sound by themselves and come to nothing beside others.
+// contradictions tells of settings that are sound by themselves and not beside others: a fault where they can't both hold, a
+// warning where they come to nothing.
 func (d *Document) contradictions() {
 	text := func(path string) string { return d.Values[path].Text }
 	on := func(path string) bool { return text(path) == "true" || text(path) == "1" }
@@ -177,6 +179,13 @@
 	if text("ops") != "" && text("ops") == text("listen") {
 		d.fault("ops", d.Values["ops"].Line, "another address than listen was expected, not %q%s", text("ops"), from(d.Values["ops"]))
 	}
+	for _, path := range d.Paths("settings.classes[].slo-s") {
+		cut := strings.TrimSuffix(path, "slo-s") + "deadline-s"
+		if later(text(path), text(cut)) {
+			d.fault(path, d.Values[path].Line, "not after deadline-s of %s s, but %s s%s", text(cut), text(path), from(d.Values[path]))
+		}
+	}
+	d.peers(text)
 	const rest, advice = "settings.rules.key-rest-s", "settings.ceilings.retry-after"
 	if over(rest) && !slices.ContainsFunc(d.Paths("settings.classes[].in-order"), on) {
 		doubt(rest, "a workload in order was expected, as keys rest for no other")
@@ -191,6 +200,35 @@
 	}
 }
 
+// peers holds the keys of the fleet against what they are read as.
+func (d *Document) peers(text func(string) string) {
+	if key := text("peers.key"); key != "" {
+		if raw, err := hex.DecodeString(key); err != nil || len(raw) != 16 && len(raw) != 24 && len(raw) != 32 {
+			d.fault("peers.key", d.Values["peers.key"].Line, "16, 24 or 32 bytes in hex were expected%s", from(d.Values["peers.key"]))
+		}
+	}
+	each := func(path string, parts int) {
+		if text(path) == "" {
+			return
+		}
+		for _, word := range strings.Split(text(path), ",") {
+			addresses := strings.Split(word, "=")
+			if len(addresses) != parts || slices.ContainsFunc(addresses, func(a string) bool { return !isAddress(a) }) {
+				d.fault(path, d.Values[path].Line, "%s was expected, not %q%s", []string{"", "address:port", "address:port=address:port"}[parts], word, from(d.Values[path]))
+			}
+		}
+	}
+	each("peers.join", 1)
+	each("peers.through", 2)
+}
+
+// later tells whether one number is larger than another; what is no number has been told of elsewhere.
+func later(a, b string) bool {
+	x, errX := strconv.ParseFloat(a, 64)
+	y, errY := strconv.ParseFloat(b, 64)
+	return errX == nil && errY == nil && x > y
+}
+
 func from(v Value) string {
 	if v.From == "file" {
 		return ""
--- a/simwire/read.go
+++ b/simwire/read.go
@@ -114,6 +114,10 @@
 				values[key] = value
 			}
 		}
+		if err := config.Sound(values); err != nil {
+			f.err = err
+			return nil
+		}
 		charter, err := config.Charter(salt, values)
 		if err != nil {
 			f.err = err
--- a/simwire/wire_test.go
+++ b/simwire/wire_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"reflect"
 	"strings"
@@ -47,6 +48,30 @@
 	}
 }
 
+// Failure: settings that can't be meant were taken as they came; they are refused, by line and key, and what runs goes on.
+func TestSettingsThatCannotBe(t *testing.T) {
+	sound := "family-info.slots=4 ceilings.open-cap=20 ceilings.try-limit=8 tick-s=0.005 classes.count=1 classes.0.slo-s=1.0 classes.0.deadline-s=8.0"
+	in := "mark 1.5\non 3\nbegin 7 " + sound + " something-new=9\n"
+	for _, bad := range []string{"family-info.slots=0", "ceilings.open-cap=-3", "weight-kind=heavy", "classes.0.deadline-s=0.5", "tick-s=NaN"} {
+		in += "on 4\nbegin 7 " + sound + " " + bad + "\n"
+	}
+	var told []string
+	r := NewReader(strings.NewReader(in+"go\n"), func(line int, fault error) { told = append(told, fmt.Sprintf("%d %v", line, fault)) })
+	batch, err := r.Next()
+	if err != nil || len(batch.Items) != 1 || batch.Items[0].Courier != 3 {
+		t.Fatalf("%v, %+v", err, batch.Items)
+	}
+	want := []string{"5 family-info.slots: ", "7 ceilings.open-cap: ", "9 weight-kind: ", "11 classes.0.slo-s: not after", "13 tick-s: "}
+	if len(told) != len(want) {
+		t.Fatalf("told %q", told)
+	}
+	for i := range want {
+		if !strings.HasPrefix(told[i], want[i]) {
+			t.Errorf("told %q, want %q", told[i], want[i])
+		}
+	}
+}
+
 func TestWriterKeepsExactTimes(t *testing.T) {
 	var out strings.Builder
 	w := NewWriter(&out)
