Replays, a slow member and strangers on sockets, in the fleet's tests

Every packet said once more revives nobody who left; a member 400 to 800 ms away has nobody given up in two minutes; another fleet, another key, none, torn and endless streams and packets of 60 KB are turned away and change nothing.

--- a/lab/links/mesh.go
+++ b/lab/links/mesh.go
@@ -15,6 +15,33 @@
 	*board
 	mu    sync.Mutex
 	nodes []*Node
+	// Keep has every packet kept, for Replay.
+	Keep bool
+	kept []kept
+}
+
+type kept struct {
+	to   int
+	text []byte
+	from net.Addr
+}
+
+// Replay has every packet that was kept come in once more, as somebody who listened might send it.
+func (m *Mesh) Replay() (n int) {
+	m.mu.Lock()
+	all := m.kept
+	m.kept = nil
+	m.mu.Unlock()
+	for _, k := range all {
+		if other, up := m.node(k.to); up {
+			select {
+			case other.packets <- &memberlist.Packet{Buf: append([]byte(nil), k.text...), From: k.from, Timestamp: time.Now()}:
+				n++
+			case <-time.After(time.Millisecond):
+			}
+		}
+	}
+	return n
 }
 
 // Node is one member's transport.
@@ -105,6 +132,10 @@
 	n.mesh.mu.Unlock()
 	from := &net.UDPAddr{IP: net.IPv4(10, byte(n.no/250), byte(n.no%250), 1), Port: 7000}
 	text := append([]byte(nil), b...)
+	if n.mesh.mu.Lock(); n.mesh.Keep {
+		n.mesh.kept = append(n.mesh.kept, kept{to, text, from})
+	}
+	n.mesh.mu.Unlock()
 	for _, after := range n.mesh.packet(n.no, to, len(b)) {
 		put := func() {
 			if other, up := n.mesh.node(to); up {
--- a/peers/gossip/gossip_test.go
+++ b/peers/gossip/gossip_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand"
+	"net"
 	"os"
 	"runtime"
 	"strconv"
@@ -261,6 +262,128 @@
 	})
 }
 
+// TestReplays: words of before, said again by somebody who kept them, revive nobody who left and bring no start back.
+func TestReplays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := begin(t, 4, 13)
+		defer f.end()
+		f.mesh.Keep = true
+		f.settle(time.Minute, whole)
+		f.members[3].Leave()
+		f.settle(time.Minute, func(_ int, m *Member) bool { return stateOf(m, "n3") == view.Left }, 3)
+		f.members[2].Leave()
+		f.begin(2)
+		f.settle(time.Minute, func(_ int, m *Member) bool { return stateOf(m, "n2") == view.Alive }, 2, 3)
+		n := f.mesh.Replay()
+		time.Sleep(30 * time.Second)
+		for i, m := range f.members[:3] {
+			for _, o := range m.Picture().Members {
+				if o.Name == "n3" && o.State != view.Left || o.Name == "n2" && (o.State != view.Alive || o.Start != 2) {
+					t.Errorf("n%d believes %d packets of before: %s is %v, start %d", i, n, o.Name, o.State, o.Start)
+				}
+			}
+		}
+	})
+}
+
+// TestSlowMember: one whose words take longer than a probe waits does not have the fleet believe in deaths, by its own doubt.
+func TestSlowMember(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := begin(t, 12, 15)
+		defer f.end()
+		f.settle(time.Minute, whole)
+		end := f.mesh.Begin(links.Fault{Kind: "slow", From: []int{5}, Size: 400})
+		time.Sleep(2 * time.Minute)
+		if err := end(); err != nil {
+			t.Error(err)
+		}
+		among := 0
+		for i, m := range f.members {
+			if i != 5 {
+				among += m.Picture().Revoked
+			}
+			if p := m.Picture(); p.Most != 12 {
+				t.Errorf("n%d counts %d", i, p.Most)
+			}
+		}
+		t.Logf("in two minutes eleven sound members gave somebody up and took it back %d times, the slow one %d times", among, f.members[5].Picture().Revoked)
+		if among > 11*4 {
+			t.Errorf("%d deaths believed that were none among the sound", among)
+		}
+		f.settle(2*time.Minute, whole)
+	})
+}
+
+// loopback is an address that is free over UDP and TCP.
+func loopback(t *testing.T) string {
+	t.Helper()
+	l, err := listen("127.0.0.1:0", "127.0.0.1:1", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Shutdown()
+	return l.tcp.Addr().String()
+}
+
+// TestStrangers: on sockets, members of another fleet, with another key or without, and whoever sends what is torn, too long or
+// does not end, are not heard; members are, and go on.
+func TestStrangers(t *testing.T) {
+	const key = "00112233445566778899aabbccddeeff"
+	at := loopback(t)
+	open := func(name, fleet, key, listen string) *Member {
+		m, err := Open(Options{Name: name, Start: 1, Couriers: 2, Fleet: fleet, Key: key, Listen: listen, Join: []string{at}, Pace: 50 * time.Millisecond})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(m.Hand)
+		return m
+	}
+	a := open("a", "f", key, at)
+	for _, s := range [][2]string{{"g", key}, {"f", "ff112233445566778899aabbccddeeff"}, {"f", ""}} {
+		open("stranger-"+s[0]+s[1], s[0], s[1], loopback(t))
+	}
+	u, err := net.Dial("udp", at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer u.Close()
+	rng := rand.New(rand.NewSource(2))
+	junk := make([]byte, 60<<10)
+	rng.Read(junk)
+	for i := range 200 {
+		u.Write(junk[:1+(i*977)%len(junk)])
+	}
+	for i := range streamMost + 10 { // more than are taken at once; none says anything whole
+		c, err := net.Dial("tcp", at)
+		if err != nil {
+			continue
+		}
+		defer c.Close()
+		c.Write(junk[:i*100])
+	}
+	for end := time.Now().Add(20 * time.Second); a.Figures().Network.Turned == 0 && time.Now().Before(end); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	if a.Figures().Network.Turned == 0 {
+		t.Error("nothing is turned away")
+	}
+	b := open("b", "f", key, loopback(t))
+	for end := time.Now().Add(40 * time.Second); b.Picture().Standing != view.Whole.String() && time.Now().Before(end); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	for _, m := range []*Member{a, b} {
+		if p := m.Picture(); len(p.Members) != 1 || p.Members[0].State != view.Alive {
+			t.Errorf("%s knows %+v", p.Self, p.Members)
+		}
+	}
+	if _, err := Open(Options{Name: "c", Listen: at}); err == nil {
+		t.Error("an address that is taken is taken again")
+	}
+	if _, err := Open(Options{Name: "c", Listen: loopback(t), Key: "00"}); err == nil {
+		t.Error("a key that is none")
+	}
+}
+
 // TestGrowth tells, with PINEPORT_GROWTH set, what talk costs each member of fleets of 10 to 1,000 in virtual time, and how long
 // a death takes to be known.
 func TestGrowth(t *testing.T) {
