--- a/logic/logic.go
+++ b/logic/logic.go
@@ -524,7 +524,7 @@
 func (c *Courier) crowds(ep *endpoint) bool {
 	calls := ep.sent.fade(c.now, rateOver).weight / c.span(ep.route) // a microsecond
 	idle := min(1, calls*float64(c.ch.IdleAfter)) - 1.5*calls*float64(c.mean(ep.route))
-	crowd, share := &c.crowd[ep.dest.kind], 0.05
+	crowd, share := &c.crowd[ep.dest.kind], 0.03
 	if crowd.on {
 		share = 0.005 // an outage is over in seconds; a crowd that was given way to comes back
 	}
@@ -547,9 +547,9 @@
 	crowd := &c.crowd[rt.dest.kind]
 	if o == Done {
 		crowd.add(c.now, rateOver, 0)
-	} else if o == Unreachable && !rt.sick && e.Took < second/2 && c.now-crowd.last > outageAfter {
+	} else if o == Unreachable && !rt.sick && e.Took < second/2 && c.now-rt.turned > outageAfter {
 		crowd.add(c.now, rateOver, 1) // not all that an outage refuses at once
-		crowd.last = c.now
+		rt.turned = c.now
 	}
 	if o != Done && o != Void && o != Withdrawn && !hollow {
 		rt.hurt = c.now
