--- a/logic/logic.go
+++ b/logic/logic.go
@@ -524,7 +524,7 @@
 func (c *Courier) crowds(ep *endpoint) bool {
 	calls := ep.sent.fade(c.now, rateOver).weight / c.span(ep.route) // a microsecond
 	idle := min(1, calls*float64(c.ch.IdleAfter)) - 1.5*calls*float64(c.mean(ep.route))
-	crowd, share := &c.crowd[ep.dest.kind], 0.03
+	crowd, share := &c.crowd[ep.dest.kind], 0.015
 	if crowd.on {
 		share = 0.005 // an outage is over in seconds; a crowd that was given way to comes back
 	}
