--- a/logic/logic.go
+++ b/logic/logic.go
@@ -518,7 +518,7 @@
 	}
 }
 
-// crowds tells whether a connection that rests here would keep others out: one call in twenty to the kind was
+// crowds tells whether a connection that rests here would keep others out: 15 calls in 1,000 to the kind were
 // refused one, and of all couriers more than four would rest here (the smallest tables take six).
 // Hurts where an outage that refuses connections passes for a crowd: see learn.
 func (c *Courier) crowds(ep *endpoint) bool {
@@ -547,9 +547,9 @@
 	crowd := &c.crowd[rt.dest.kind]
 	if o == Done {
 		crowd.add(c.now, rateOver, 0)
-	} else if o == Unreachable && !rt.sick && e.Took < second/2 && c.now-rt.turned > outageAfter {
+	} else if o == Unreachable && !rt.sick && e.Took < second/2 && c.now-crowd.last > outageAfter {
 		crowd.add(c.now, rateOver, 1) // not all that an outage refuses at once
-		rt.turned = c.now
+		crowd.last = c.now
 	}
 	if o != Done && o != Void && o != Withdrawn && !hollow {
 		rt.hurt = c.now
--- a/logic/state.go
+++ b/logic/state.go
@@ -183,7 +183,6 @@
 	sickAt     Micros
 	strikes    int    // signs of an outage in a row
 	hurt       Micros // last call that failed or was refused
-	turned     Micros // last call that was refused a connection, and counted
 	coldSince  Micros
 	cold       bool
 	lastDone   Micros
@@ -199,7 +198,7 @@
 func (c *Courier) newRuns() []run { return make([]run, len(c.ch.Workloads)) }
 
 func (c *Courier) newRoute(d *dest) *route {
-	return &route{dest: d, since: c.now, lastDone: c.now, lastCall: -second, hurt: -never / 2, turned: -never / 2,
+	return &route{dest: d, since: c.now, lastDone: c.now, lastCall: -second, hurt: -never / 2,
 		breakers: make([]breaker, len(c.ch.Workloads))}
 }
 
@@ -212,7 +211,8 @@
 // crowding counts calls that were refused a connection, of those and the done ones.
 type crowding struct {
 	tally
-	on bool
+	last Micros // one that was counted
+	on   bool
 }
 
 // fade brings a tally up to date and returns it.
