A fleet's lost words and settled suspicions are heard again

Found by the tests on a clean checkout, under load: among 300 members one stayed suspected at another for three minutes, as the detector tells nobody that a suspicion is over; and a word that found the queue full was never said again. The detector's list is held against the view every ten paces, or at once where words were lost, and up to four suspected members are asked.

--- a/peers/gossip/gossip.go
+++ b/peers/gossip/gossip.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -74,7 +75,10 @@
 	queueSize = 1024 // words that wait for the view; a lost one comes again, from the detector's list
 	nameMost  = 128  // bytes of a name
 	ticks     = 5    // a pace has so many
-	leaveFor  = 500 * time.Millisecond
+	askMost   = 4    // suspected members that are asked at once
+	// againTicks is how often the detector's list is held against the view, lost words or not.
+	againTicks = 10 * ticks
+	leaveFor   = 500 * time.Millisecond
 )
 
 var decoder = func() cbor.DecMode {
@@ -184,7 +188,8 @@
 	defer m.done.Done()
 	tick := time.NewTicker(m.o.Pace / ticks)
 	defer tick.Stop()
-	for passed := 0; ; {
+	var lost int64
+	for passed, since := 0, 0; ; {
 		var events []view.Event
 		select {
 		case <-ctx.Done():
@@ -195,6 +200,10 @@
 			// Behind what the detector has told already, or what came in while this process stood still would count as old.
 			events = append(events, view.Passed{})
 			passed++
+			if since++; since >= againTicks || m.lost.Load() != lost {
+				since, lost = 0, m.lost.Load()
+				events = append(events, m.again()...)
+			}
 		}
 		for range len(m.events) {
 			events = append(events, <-m.events)
@@ -208,6 +217,45 @@
 	}
 }
 
+// again says anew where the detector's list and the view differ. Failure: the detector tells a change once, and one that found the
+// queue full was never heard of; in a storm of joins a member stayed failed for good.
+func (m *Member) again() (events []view.Event) {
+	states := map[view.Name]view.State{}
+	for _, o := range m.Picture().Members {
+		states[o.Name] = o.State
+	}
+	for _, n := range m.list.Members() {
+		name := view.Name(n.Name)
+		state, known := states[name]
+		delete(states, name)
+		if e, ok := m.word(n, view.Alive); ok && (!known || state == view.Failed || state == view.Left) {
+			events = append(events, e)
+		}
+	}
+	asked := 0
+	for _, o := range m.Picture().Members {
+		if o.State == view.Suspected && asked < askMost { // that a suspicion is over is told to nobody: ask
+			asked++
+			go m.ask(o)
+		}
+		if _, missing := states[o.Name]; missing && o.State != view.Failed && o.State != view.Left {
+			events = append(events, view.Heard{Name: o.Name, Start: o.Start, State: view.Failed, Zone: o.Zone, At: o.At})
+		}
+	}
+	return events
+}
+
+// ask has a member prove that it is there.
+func (m *Member) ask(o view.Member) {
+	at, err := net.ResolveUDPAddr("udp", o.At)
+	if err != nil {
+		return
+	}
+	if _, err := m.list.Ping(string(o.Name), at); err == nil {
+		m.tell(view.Answered{Name: o.Name})
+	}
+}
+
 func (m *Member) publish() {
 	p, starts, counts := m.view.Look(), m.view.Starts(), map[string]int64{}
 	for k, n := range m.changes {
@@ -371,17 +419,21 @@
 
 // heard makes a word of the view's out of one of the detector's.
 func (d delegate) heard(n *memberlist.Node, state view.State) {
-	if n.Name == d.m.o.Name {
-		return
+	if e, ok := d.m.word(n, state); ok {
+		d.m.tell(e)
 	}
+}
+
+// word is what a member of the detector's list is to the view, unless it makes no sense or is this courier.
+func (m *Member) word(n *memberlist.Node, state view.State) (view.Heard, bool) {
 	var t tag
-	if decoder.Unmarshal(n.Meta, &t) != nil || len(n.Name) > nameMost || len(t.Zone) > nameMost {
-		return
+	if n.Name == m.o.Name || decoder.Unmarshal(n.Meta, &t) != nil || len(n.Name) > nameMost || len(t.Zone) > nameMost {
+		return view.Heard{}, false
 	}
 	if t.Leaving {
 		state = view.Left
 	}
-	d.m.tell(view.Heard{Name: view.Name(n.Name), Start: view.Start(t.Start), State: state, Zone: t.Zone, At: n.Address()})
+	return view.Heard{Name: view.Name(n.Name), Start: view.Start(t.Start), State: state, Zone: t.Zone, At: n.Address()}, true
 }
 
 func (d delegate) NotifyJoin(n *memberlist.Node)   { d.heard(n, view.Alive) }
--- a/peers/gossip/gossip_test.go
+++ b/peers/gossip/gossip_test.go
@@ -66,9 +66,16 @@
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
+	told := 0
 	for i, m := range f.members {
-		if p := m.Picture(); !all(i, m) && i < 40 {
-			f.t.Errorf("n%d: %s, %d to %d couriers", i, p.Standing, p.Least, p.Most)
+		if p := m.Picture(); !all(i, m) && told < 8 {
+			told++
+			f.t.Errorf("n%d, start %d: %s, %d to %d couriers, %d words lost", i, m.Start(), p.Standing, p.Least, p.Most, m.Figures().Lost)
+			for _, o := range p.Members {
+				if o.State != view.Alive {
+					f.t.Errorf("  %s is %v, start %d", o.Name, o.State, o.Start)
+				}
+			}
 		}
 	}
 	f.t.FailNow()
@@ -262,6 +269,24 @@
 	})
 }
 
+// TestLostWords: what the queue had no room for is heard all the same, a little later. Failure: see again.
+func TestLostWords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := begin(t, 4, 17)
+		defer f.end()
+		f.settle(time.Minute, whole)
+		m := f.members[0]
+		m.tell(view.Heard{Name: "n1", Start: 1, State: view.Failed}) // and the word that it is back is lost
+		for m.lost.Load() == 0 {
+			m.tell(view.Answered{Name: "nobody"})
+		}
+		f.settle(5*time.Second, whole)
+		m.tell(view.Heard{Name: "n2", Start: 1, State: view.Failed}) // without anybody noticing that a word was lost
+		time.Sleep(50 * time.Millisecond)
+		f.settle(15*time.Second, whole)
+	})
+}
+
 // TestReplays: words of before, said again by somebody who kept them, revive nobody who left and bring no start back.
 func TestReplays(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
