--- a/logic/logic.go
+++ b/logic/logic.go
@@ -518,13 +518,13 @@
 	}
 }
 
-// crowds tells whether a connection that rests here would keep others out: one call in twenty to the kind was
+// crowds tells whether a connection that rests here would keep others out: 15 calls in 1,000 to the kind were
 // refused one, and of all couriers more than four would rest here (the smallest tables take six).
 // Hurts where an outage that refuses connections passes for a crowd: see learn.
 func (c *Courier) crowds(ep *endpoint) bool {
 	calls := ep.sent.fade(c.now, rateOver).weight / c.span(ep.route) // a microsecond
 	idle := min(1, calls*float64(c.ch.IdleAfter)) - 1.5*calls*float64(c.mean(ep.route))
-	crowd, share := &c.crowd[ep.dest.kind], 0.05
+	crowd, share := &c.crowd[ep.dest.kind], 0.015
 	if crowd.on {
 		share = 0.005 // an outage is over in seconds; a crowd that was given way to comes back
 	}
