--- /dev/null
+++ b/peers/gossip/gossip_test.go
@@ -0,0 +1,438 @@
+package gossip
+
+import (
+	"fmt"
+	"math/rand"
+	"net"
+	"os"
+	"runtime"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pineport/lab/links"
+	"pineport/peers/view"
+)
+
+// fleet is members in virtual time.
+type fleet struct {
+	t       *testing.T
+	mesh    *links.Mesh
+	members []*Member
+	starts  []uint64
+}
+
+func (f *fleet) begin(i int) {
+	f.starts[i]++
+	m, err := Open(Options{Name: fmt.Sprintf("n%d", i), Start: f.starts[i], Couriers: len(f.members), Join: []string{f.mesh.At(0), f.mesh.At((i + 1) % len(f.members))},
+		Salt: int64(i), Transport: f.mesh.Join(i)})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.members[i] = m
+}
+
+func begin(t *testing.T, n int, seed int64) *fleet {
+	f := &fleet{t: t, mesh: links.NewMesh(n+1, seed), members: make([]*Member, n), starts: make([]uint64, n)}
+	for i := range n {
+		f.begin(i)
+	}
+	return f
+}
+
+func (f *fleet) end() {
+	for _, m := range f.members {
+		m.Hand()
+	}
+	time.Sleep(time.Minute) // what the detector has under way runs out
+}
+
+// settle waits for a state of all but some, and returns how long that took.
+func (f *fleet) settle(within time.Duration, all func(i int, m *Member) bool, but ...int) time.Duration {
+	f.t.Helper()
+	begun := time.Now()
+	for time.Since(begun) < within {
+		ok := true
+		for i, m := range f.members {
+			skip := false
+			for _, b := range but {
+				skip = skip || b == i
+			}
+			ok = ok && (skip || all(i, m))
+		}
+		if ok {
+			return time.Since(begun)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	told := 0
+	for i, m := range f.members {
+		if p := m.Picture(); !all(i, m) && told < 8 {
+			told++
+			f.t.Errorf("n%d, start %d: %s, %d to %d couriers, %d words lost", i, m.Start(), p.Standing, p.Least, p.Most, m.Figures().Lost)
+			for _, o := range p.Members {
+				if o.State != view.Alive {
+					f.t.Errorf("  %s is %v, start %d", o.Name, o.State, o.Start)
+				}
+			}
+		}
+	}
+	f.t.FailNow()
+	return 0
+}
+
+func whole(_ int, m *Member) bool { return m.Picture().Standing == view.Whole.String() }
+
+func stateOf(m *Member, name string) view.State {
+	for _, o := range m.Picture().Members {
+		if string(o.Name) == name {
+			return o.State
+		}
+	}
+	return view.Unknown
+}
+
+// TestFaultsFromSeeds: whatever strikes the network, once it is over all know of all again, nobody counted fewer meanwhile,
+// and no part of the fleet took the rest for gone.
+func TestFaultsFromSeeds(t *testing.T) {
+	seeds, n := 12, 24
+	if s, err := strconv.Atoi(os.Getenv("PINEPORT_SEEDS")); err == nil {
+		seeds = s
+	}
+	for seed := range seeds {
+		synctest.Test(t, func(t *testing.T) {
+			f := begin(t, n, int64(seed))
+			defer f.end()
+			f.settle(2*time.Minute, whole)
+			for _, fault := range links.Draw(int64(seed), 4, n, 120) {
+				end := f.mesh.Begin(fault)
+				for range int(fault.Length * 10) {
+					time.Sleep(100 * time.Millisecond)
+					for i, m := range f.members {
+						if p := m.Picture(); p.Most < n {
+							t.Fatalf("seed %d, %s: n%d counts %d", seed, fault.Kind, i, p.Most)
+						}
+					}
+				}
+				if err := end(); err != nil {
+					t.Errorf("seed %d: %v", seed, err)
+				}
+			}
+			f.settle(3*time.Minute, whole)
+		})
+	}
+}
+
+// TestThreeHundred: three hundred members find each other; a tenth dies, is known to be dead, and comes back.
+func TestThreeHundred(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := 300
+		f := begin(t, n, 1)
+		defer f.end()
+		t.Logf("whole after %v", f.settle(3*time.Minute, whole))
+		var dead []int
+		for i := 0; i < n; i += 10 {
+			dead = append(dead, i)
+			f.mesh.Drop(i)
+			f.members[i].Hand()
+		}
+		took := f.settle(3*time.Minute, func(_ int, m *Member) bool {
+			p := m.Picture()
+			return p.Least == n-len(dead) && p.Most == n
+		}, dead...)
+		t.Logf("thirty deaths known by all after %v", took)
+		for _, i := range dead {
+			f.begin(i)
+		}
+		t.Logf("whole again after %v", f.settle(3*time.Minute, whole))
+	})
+}
+
+// TestPartitionAndHeal: cut in two, then otherwise in two: each side counts all, and after the heal nothing is taken for dead.
+func TestPartitionAndHeal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := 9
+		f := begin(t, n, 3)
+		defer f.end()
+		f.settle(time.Minute, whole)
+		for _, side := range [][]int{{0, 1, 2}, {3, 4, 5}} {
+			end := f.mesh.Begin(links.Fault{Kind: "cut", From: side})
+			f.settle(time.Minute, func(i int, m *Member) bool {
+				p := m.Picture()
+				inside := 6
+				for _, s := range side {
+					if s == i {
+						inside = 3
+					}
+				}
+				return p.Least == inside && p.Most == n && p.Standing == view.Part.String()
+			})
+			if err := end(); err != nil {
+				t.Error(err)
+			}
+			f.settle(2*time.Minute, whole)
+		}
+	})
+}
+
+// TestOneWay: A hears B, B hears C, C hears A only. Nobody is counted fewer, and it heals.
+func TestOneWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := begin(t, 3, 5)
+		defer f.end()
+		f.settle(time.Minute, whole)
+		var ends []func() error
+		for _, p := range [][2]int{{0, 1}, {1, 2}, {2, 0}} {
+			ends = append(ends, f.mesh.Begin(links.Fault{Kind: "one-way", From: p[:1], To: p[1:]}))
+		}
+		time.Sleep(40 * time.Second)
+		for i, m := range f.members {
+			if p := m.Picture(); p.Most != 3 {
+				t.Errorf("n%d counts %d", i, p.Most)
+			}
+		}
+		for _, end := range ends {
+			end()
+		}
+		f.settle(2*time.Minute, whole)
+	})
+}
+
+// TestLeaveAndReturn: who leaves by word is not taken for dead, and is back with its next start alone.
+func TestLeaveAndReturn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := begin(t, 5, 7)
+		defer f.end()
+		f.settle(time.Minute, whole)
+		f.members[2].Leave()
+		f.settle(time.Minute, func(_ int, m *Member) bool { return stateOf(m, "n2") == view.Left }, 2)
+		f.begin(2)
+		f.settle(time.Minute, whole)
+		for i, m := range f.members {
+			if m.Picture().Revoked != 0 {
+				t.Errorf("n%d believed in a death", i)
+			}
+		}
+	})
+}
+
+// TestOldNumberAndNamesake: one that comes back from an older copy of its folder goes on under a higher number; of two of one
+// name the older start stands back.
+func TestOldNumberAndNamesake(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := begin(t, 5, 9)
+		defer f.end()
+		f.settle(time.Minute, whole)
+		for range 3 { // its number grows to 4
+			f.members[1].Leave()
+			f.begin(1)
+			f.settle(time.Minute, whole)
+		}
+		f.mesh.Drop(1)
+		f.members[1].Hand()
+		f.starts[1] = 0 // the folder is an older copy
+		f.begin(1)
+		f.settle(time.Minute, func(_ int, m *Member) bool { return whole(0, m) && f.members[1].Start() > 4 })
+
+		twin, err := Open(Options{Name: "n1", Start: 5000, Couriers: 5, Join: []string{f.mesh.At(0)}, Transport: f.mesh.Join(5)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer twin.Hand()
+		f.settle(2*time.Minute, func(i int, m *Member) bool {
+			return i != 1 || m.Picture().Standing == view.Aside.String()
+		})
+	})
+}
+
+// TestHostileWords: what does not make sense changes nothing and stops nothing.
+func TestHostileWords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := begin(t, 3, 11)
+		defer f.end()
+		f.settle(time.Minute, whole)
+		rng := rand.New(rand.NewSource(1))
+		from := f.mesh.Join(0)
+		f.members[0].Hand()
+		for range 2000 {
+			junk := make([]byte, rng.Intn(1400))
+			rng.Read(junk)
+			if len(junk) > 0 && rng.Intn(2) == 0 {
+				junk[0] = byte(rng.Intn(14)) // a kind of word that there is
+			}
+			from.WriteTo(junk, f.mesh.At(1))
+			delegate{f.members[1]}.MergeRemoteState(junk, false)
+		}
+		f.begin(0)
+		f.settle(2*time.Minute, whole)
+	})
+}
+
+// TestLostWords: what the queue had no room for is heard all the same, a little later. Failure: see again.
+func TestLostWords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := begin(t, 4, 17)
+		defer f.end()
+		f.settle(time.Minute, whole)
+		m := f.members[0]
+		m.tell(view.Heard{Name: "n1", Start: 1, State: view.Failed}) // and the word that it is back is lost
+		for m.lost.Load() == 0 {
+			m.tell(view.Answered{Name: "nobody"})
+		}
+		f.settle(5*time.Second, whole)
+		m.tell(view.Heard{Name: "n2", Start: 1, State: view.Failed}) // without anybody noticing that a word was lost
+		time.Sleep(50 * time.Millisecond)
+		f.settle(15*time.Second, whole)
+	})
+}
+
+// TestReplays: words of before, said again by somebody who kept them, revive nobody who left and bring no start back.
+func TestReplays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := begin(t, 4, 13)
+		defer f.end()
+		f.mesh.Keep = true
+		f.settle(time.Minute, whole)
+		f.members[3].Leave()
+		f.settle(time.Minute, func(_ int, m *Member) bool { return stateOf(m, "n3") == view.Left }, 3)
+		f.members[2].Leave()
+		f.begin(2)
+		f.settle(time.Minute, func(_ int, m *Member) bool { return stateOf(m, "n2") == view.Alive }, 2, 3)
+		n := f.mesh.Replay()
+		time.Sleep(30 * time.Second)
+		for i, m := range f.members[:3] {
+			for _, o := range m.Picture().Members {
+				if o.Name == "n3" && o.State != view.Left || o.Name == "n2" && (o.State != view.Alive || o.Start != 2) {
+					t.Errorf("n%d believes %d packets of before: %s is %v, start %d", i, n, o.Name, o.State, o.Start)
+				}
+			}
+		}
+	})
+}
+
+// TestSlowMember: one whose words take longer than a probe waits does not have the fleet believe in deaths, by its own doubt.
+func TestSlowMember(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := begin(t, 12, 15)
+		defer f.end()
+		f.settle(time.Minute, whole)
+		end := f.mesh.Begin(links.Fault{Kind: "slow", From: []int{5}, Size: 400})
+		time.Sleep(2 * time.Minute)
+		if err := end(); err != nil {
+			t.Error(err)
+		}
+		among := 0
+		for i, m := range f.members {
+			if i != 5 {
+				among += m.Picture().Revoked
+			}
+			if p := m.Picture(); p.Most != 12 {
+				t.Errorf("n%d counts %d", i, p.Most)
+			}
+		}
+		t.Logf("in two minutes eleven sound members gave somebody up and took it back %d times, the slow one %d times", among, f.members[5].Picture().Revoked)
+		if among > 11*4 {
+			t.Errorf("%d deaths believed that were none among the sound", among)
+		}
+		f.settle(2*time.Minute, whole)
+	})
+}
+
+// loopback is an address that is free over UDP and TCP.
+func loopback(t *testing.T) string {
+	t.Helper()
+	l, err := listen("127.0.0.1:0", "127.0.0.1:1", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Shutdown()
+	return l.tcp.Addr().String()
+}
+
+// TestStrangers: on sockets, members of another fleet, with another key or without, and whoever sends what is torn, too long or
+// does not end, are not heard; members are, and go on.
+func TestStrangers(t *testing.T) {
+	const key = "00112233445566778899aabbccddeeff"
+	at := loopback(t)
+	open := func(name, fleet, key, listen string) *Member {
+		m, err := Open(Options{Name: name, Start: 1, Couriers: 2, Fleet: fleet, Key: key, Listen: listen, Join: []string{at}, Pace: 50 * time.Millisecond})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(m.Hand)
+		return m
+	}
+	a := open("a", "f", key, at)
+	for _, s := range [][2]string{{"g", key}, {"f", "ff112233445566778899aabbccddeeff"}, {"f", ""}} {
+		open("stranger-"+s[0]+s[1], s[0], s[1], loopback(t))
+	}
+	u, err := net.Dial("udp", at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer u.Close()
+	rng := rand.New(rand.NewSource(2))
+	junk := make([]byte, 60<<10)
+	rng.Read(junk)
+	for i := range 200 {
+		u.Write(junk[:1+(i*977)%len(junk)])
+	}
+	for i := range streamMost + 10 { // more than are taken at once; none says anything whole
+		c, err := net.Dial("tcp", at)
+		if err != nil {
+			continue
+		}
+		defer c.Close()
+		c.Write(junk[:i*100])
+	}
+	for end := time.Now().Add(20 * time.Second); a.Figures().Network.Turned == 0 && time.Now().Before(end); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	if a.Figures().Network.Turned == 0 {
+		t.Error("nothing is turned away")
+	}
+	b := open("b", "f", key, loopback(t))
+	for end := time.Now().Add(40 * time.Second); b.Picture().Standing != view.Whole.String() && time.Now().Before(end); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	for _, m := range []*Member{a, b} {
+		if p := m.Picture(); len(p.Members) != 1 || p.Members[0].State != view.Alive {
+			t.Errorf("%s knows %+v", p.Self, p.Members)
+		}
+	}
+	if _, err := Open(Options{Name: "c", Listen: at}); err == nil {
+		t.Error("an address that is taken is taken again")
+	}
+	if _, err := Open(Options{Name: "c", Listen: loopback(t), Key: "00"}); err == nil {
+		t.Error("a key that is none")
+	}
+}
+
+// TestGrowth tells, with PINEPORT_GROWTH set, what talk costs each member of fleets of 10 to 1,000 in virtual time, and how long
+// a death takes to be known.
+func TestGrowth(t *testing.T) {
+	if os.Getenv("PINEPORT_GROWTH") == "" {
+		t.Skip("PINEPORT_GROWTH is not set")
+	}
+	for _, n := range []int{10, 30, 100, 300, 1000} {
+		synctest.Test(t, func(t *testing.T) {
+			f := begin(t, n, 1)
+			defer f.end()
+			found := f.settle(10*time.Minute, whole)
+			sent, bytes := f.mesh.Traffic()
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			time.Sleep(time.Minute)
+			sent2, bytes2 := f.mesh.Traffic()
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			f.mesh.Drop(n / 2)
+			f.members[n/2].Hand()
+			first := f.settle(10*time.Minute, func(i int, m *Member) bool { return i != 0 || stateOf(m, fmt.Sprintf("n%d", n/2)) == view.Failed }, n/2)
+			all := f.settle(10*time.Minute, func(_ int, m *Member) bool { return stateOf(m, fmt.Sprintf("n%d", n/2)) == view.Failed }, n/2)
+			t.Logf("%4d members: whole after %v; %.1f packets/s and %.0f bytes/s each; %.0f kB of heap each; a death known to one after %v, to the last %v later",
+				n, found, float64(sent2-sent)/60/float64(n), float64(bytes2-bytes)/60/float64(n), float64(after.HeapAlloc)/1024/float64(n), first, all)
+		})
+	}
+}
