--- a/cmd/pineport/peers_test.go
+++ b/cmd/pineport/peers_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"net"
 	"os"
 	"path/filepath"
@@ -17,24 +16,11 @@
 // talk has a courier's file allow talk, or not, and name an address for it.
 func talk(t *testing.T, dir string, allowed bool, join ...string) (listen string) {
 	t.Helper()
-	file := filepath.Join(dir, "config.json")
-	text, err := os.ReadFile(file)
-	if err != nil {
-		t.Fatal(err)
-	}
-	var top map[string]any
-	if err := json.Unmarshal(text, &top); err != nil {
-		t.Fatal(err)
-	}
 	listen = freePort(t)
-	top["peers"] = map[string]any{"listen": listen, "pace_s": 0.1, "fleet": "f", "join": join}
-	top["settings"].(map[string]any)["ceilings"].(map[string]any)["peers"] = allowed
-	if text, err = json.Marshal(top); err == nil {
-		err = os.WriteFile(file, text, 0o600)
-	}
-	if err != nil {
-		t.Fatal(err)
-	}
+	configured(t, dir, func(top map[string]any) {
+		top["peers"] = map[string]any{"listen": listen, "pace_s": 0.1, "fleet": "f", "join": join}
+		top["settings"].(map[string]any)["ceilings"].(map[string]any)["peers"] = allowed
+	})
 	return listen
 }
 
--- a/cmd/pineport/upgrade_test.go
+++ b/cmd/pineport/upgrade_test.go
@@ -55,7 +55,19 @@
 	}
 	l.Close()
 	t.Cleanup(func() { p.socket.Close() })
-	file := filepath.Join(p.dir, "config.json")
+	configured(t, p.dir, func(top map[string]any) {
+		settings := top["settings"].(map[string]any)
+		settings["classes"] = append(settings["classes"].([]any), map[string]any{"name": "line", "idempotency": "free", "points": 1, "slo-s": 2.0,
+			"deadline-s": 8.0, "late-worth": 0.5, "in-order": true})
+		settings["rules"].(map[string]any)["key-rest-s"] = 1.0
+	})
+	return p
+}
+
+// configured changes what a courier's file says.
+func configured(t *testing.T, dir string, change func(top map[string]any)) {
+	t.Helper()
+	file := filepath.Join(dir, "config.json")
 	text, err := os.ReadFile(file)
 	if err != nil {
 		t.Fatal(err)
@@ -64,17 +76,13 @@
 	if err := json.Unmarshal(text, &top); err != nil {
 		t.Fatal(err)
 	}
-	settings := top["settings"].(map[string]any)
-	settings["classes"] = append(settings["classes"].([]any), map[string]any{"name": "line", "idempotency": "free", "points": 1, "slo-s": 2.0,
-		"deadline-s": 8.0, "late-worth": 0.5, "in-order": true})
-	settings["rules"].(map[string]any)["key-rest-s"] = 1.0
+	change(top)
 	if text, err = json.Marshal(top); err == nil {
 		err = os.WriteFile(file, text, 0o600)
 	}
 	if err != nil {
 		t.Fatal(err)
 	}
-	return p
 }
 
 // running is one run of a program on the platform.
--- a/lab/day/days.go
+++ b/lab/day/days.go
@@ -11,8 +11,11 @@
 var builtIn embed.FS
 
 // BuiltIn lists the names of the days that come with the laboratory.
-func BuiltIn() (names []string) {
-	entries, err := builtIn.ReadDir("days")
+func BuiltIn() []string { return Names(builtIn) }
+
+// Names lists the days in the folder of that name of an embedded file system.
+func Names(in embed.FS) (names []string) {
+	entries, err := in.ReadDir("days")
 	if err != nil {
 		panic(err) // embedded, so it is there
 	}
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -56,16 +56,7 @@
 var processFaults = []string{Kill, Stop, Roll, Empty, Older, Address}
 
 // Days lists the plans that come with the laboratory.
-func Days() (names []string) {
-	entries, err := builtIn.ReadDir("days")
-	if err != nil {
-		panic(err) // embedded, so it is there
-	}
-	for _, e := range entries {
-		names = append(names, strings.TrimSuffix(e.Name(), ".toml"))
-	}
-	return names
-}
+func Days() []string { return day.Names(builtIn) }
 
 // Find reads a plan that comes with the laboratory, or else a file.
 func Find(name string) (*Plan, error) {
--- a/peers/gossip/transport.go
+++ b/peers/gossip/transport.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -223,13 +224,7 @@
 func Pairs(words []string) (map[string]string, error) {
 	pairs := map[string]string{}
 	for _, w := range words {
-		var from, to string
-		for i := range w {
-			if w[i] == '=' {
-				from, to = w[:i], w[i+1:]
-				break
-			}
-		}
+		from, to, _ := strings.Cut(w, "=")
 		for _, a := range []string{from, to} {
 			if _, port, err := net.SplitHostPort(a); err != nil {
 				return nil, fmt.Errorf("%q: address=address was expected", w)
