The decisions take in what couriers settle among themselves on limits

The module now takes an event Shared: a loan widens this courier's part until it lapses by its own clock, what was lent narrows it, and a load that was heard holds back as a report of what is left does, never the other way round. Needs tells what each route is called, served, refused, and what waits.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -64,6 +64,8 @@
 			c.believe(e.Lore)
 		case Rechartered:
 			c.recharter(e.Charter)
+		case Shared:
+			c.share(e)
 		case Maintained:
 			c.maintain(e)
 		case Left:
@@ -104,8 +106,7 @@
 func (c *Courier) do(a Action)    { c.out = append(c.out, a) }
 func (c *Courier) look(at Micros) { c.lookAt = min(c.lookAt, at) }
 
-// Answer times are kept over some tens of answers at usual traffic; a trouble lasts about as long.
-const tookOver = 15 * second
+const tookOver = 15 * second // some tens of answers at usual traffic; a trouble lasts about as long
 
 // mean is the answer time to expect of a route: what it shows, or all do, or half the shortest quoted time.
 func (c *Courier) mean(r *route) Micros {
@@ -332,10 +333,9 @@
 }
 
 const (
-	tripsAt    = 5              // opens when more failures than this come in a row (DESIGN)
-	openPeriod = 5 * second / 2 // half of DESIGN's starting value: outages here last 5 to 25 s
-	// Shorter breaks in answers are stalls; the shortest outages recorded last over twice as long.
-	outageAfter = 2 * second
+	tripsAt     = 5              // opens when more failures than this come in a row (DESIGN)
+	openPeriod  = 5 * second / 2 // half of DESIGN's starting value: outages here last 5 to 25 s
+	outageAfter = 2 * second     // shorter breaks are stalls; outages recorded last over twice as long
 	idleAfter   = 120 * second
 )
 
@@ -386,8 +386,7 @@
 	c.sicken(ep.route)
 }
 
-// afterMaintenance is the least time between two calls to an endpoint that people put back, beside warm
-// siblings: its part of the route's, as far as it is warm.
+// afterMaintenance spaces calls to an endpoint that people put back, beside warm siblings: by how warm it is.
 func (c *Courier) afterMaintenance(ep *endpoint) Micros {
 	if ep.coldTo <= c.now {
 		return 0
@@ -406,8 +405,7 @@
 	}
 }
 
-// Outages last 5 to 25 s, limits change as seldom: what is older says nothing of now.
-const loreHolds = 30 * second
+const loreHolds = 30 * second // outages last 5 to 25 s, limits change as seldom
 
 // believe takes over what was learned before a restart. Caution is kept whole, and a ramp goes on from where
 // it stood, as the destination may have fallen again; what gives confidence fades. So an older lore, if
@@ -643,14 +641,19 @@
 	return rt.left + max(0, 1-7*q.sum/(q.weight+3))*float64(c.now-rt.toldAt)/float64(10*second)
 }
 
+// limit is what a route takes from all couriers, in calls a second: listed or reported; 0 unknown.
+func (c *Courier) limit(rt *route) float64 {
+	if c.ch.Rates == RoughRates && !rt.told {
+		return rt.rate * 0.67 // up to half too high
+	}
+	return rt.rate
+}
+
 // base is this courier's part of what a route can do, in calls a second: listed, reported, or else seen.
 func (c *Courier) base(rt *route) float64 {
-	couriers := float64(max(1, c.ch.Couriers))
-	switch {
-	case rt.rate > 0 && c.ch.Rates == RoughRates && !rt.told:
-		return rt.rate * 0.67 / couriers // up to half too high
-	case rt.rate > 0:
-		return rt.rate / couriers
+	couriers := float64(max(1, c.ch.Couriers)) / (1 + rt.shared.more(c.now))
+	if limit := c.limit(rt); limit > 0 {
+		return limit / couriers
 	}
 	return max(1.3*c.own(rt), 1/couriers) // nothing listed: a limit is mostly well over the usual calls
 }
@@ -702,7 +705,7 @@
 // spacing is the least time between two calls on a route.
 func (c *Courier) spacing(rt *route) Micros {
 	gap, warm := rt.gap, c.warmth(rt)
-	if left := c.left(rt); left < scarce {
+	if left := min(c.left(rt), 1-rt.shared.load(c.now)); left < scarce {
 		// A limit that is nearly used up, or has shrunk: keep to this courier's part of it.
 		gap = max(gap, Micros((1-left/scarce)*float64(c.part(rt))))
 	}
@@ -752,8 +755,7 @@
 	return 2 * free
 }
 
-// reclaim calls off the most overdue; nine in ten take under 3 means and a bit. Hurts if all turn slow at
-// once.
+// reclaim calls off the most overdue; nine in ten take under 3 means and a bit. Hurts if all slow at once.
 func (c *Courier) reclaim(most float64) {
 	var worst *trip
 	for _, t := range c.flying {
--- a/logic/state.go
+++ b/logic/state.go
@@ -193,6 +193,10 @@
 	usual      float64 // calls a second before the outage
 	rate       float64 // listed or reported calls a second from all couriers; 0 unknown
 	late       bool    // called lately: see Courier.late
+	called     int     // in all
+	served     int
+	turned     int
+	shared     SharedPart // what couriers have settled among themselves
 }
 
 func (c *Courier) newRuns() []run { return make([]run, len(c.ch.Workloads)) }
@@ -435,6 +439,7 @@
 	ep.dest.calls++
 	ep.lastCall, ep.route.lastCall = c.now, c.now
 	ep.sent.add(c.now, rateOver, 1)
+	ep.route.called++
 	c.lately(ep.route)
 	return cl
 }
@@ -479,6 +484,12 @@
 	rt := t.at.route
 	same := func(o *trip) bool { return o == t }
 	rt.out, c.flying = slices.DeleteFunc(rt.out, same), slices.DeleteFunc(c.flying, same)
+	switch e.Outcome {
+	case Done:
+		rt.served++
+	case Full:
+		rt.turned++
+	}
 	t.call.sent = t.call.sent || e.Outcome != Void || !e.Over
 	if t.call.open--; t.call.open > 0 {
 		return
