--- a/commons/commons.go
+++ b/commons/commons.go
@@ -60,8 +60,6 @@
 	askOf = 3
 	// sayTo members hear counts at each beat; said on, they reach a fleet of hundreds within freshFor.
 	sayTo = 3
-	// mostCounts fit into a packet beside asks and loans.
-	mostCounts = 16
 )
 
 // Terms is what commons are handed at their start.
@@ -482,25 +480,39 @@
 		}
 	}
 	slices.SortStableFunc(own, func(a, b Count) int { return cmp.Compare(b.Usage, a.Usage) })
-	counts := own[:min(len(own), mostCounts)]
-	for i := range min(len(others), mostCounts-len(counts)) {
-		counts = append(counts, others[(c.turn+i)%len(others)])
+	to, hear := map[string]Words{}, map[string]bool{}
+	for _, i := range c.rng.Perm(len(c.alive))[:min(sayTo, len(c.alive))] {
+		hear[c.alive[i]] = true
+		to[c.alive[i]] = Words{}
 	}
-	c.turn += mostCounts
-	to := map[string]Words{}
 	for name, a := range asks {
-		to[name] = Words{Asks: a[:min(len(a), mostCounts)]}
-	}
-	if len(counts) > 0 {
-		for _, i := range c.rng.Perm(len(c.alive))[:min(sayTo, len(c.alive))] {
-			w := to[c.alive[i]]
-			w.Counts = counts
-			to[c.alive[i]] = w
-		}
+		to[name] = Words{Asks: a}
 	}
+	said := 0
 	for _, name := range slices.Sorted(maps.Keys(to)) {
-		c.say(name, to[name])
+		w, room := Words{}, packet(c.terms.Self)
+		for _, a := range to[name].Asks { // those beyond are lost, and asked again
+			if room.take(a.size()) {
+				w.Asks = append(w.Asks, a)
+			}
+		}
+		if hear[name] {
+			for i := 0; i < len(own) && room.take(own[i].size()); i++ {
+				w.Counts = append(w.Counts, own[i])
+			}
+			for i := 0; i < len(others); i++ {
+				n := others[(c.turn+i)%len(others)]
+				if !room.take(n.size()) {
+					break
+				}
+				w.Counts, said = append(w.Counts, n), max(said, i+1)
+			}
+		}
+		if len(w.Asks)+len(w.Counts) > 0 {
+			c.say(name, w)
+		}
 	}
+	c.turn += said
 }
 
 // Line is what stands for one route, to be shown.
--- a/commons/words.go
+++ b/commons/words.go
@@ -107,4 +107,21 @@
 	return nil
 }
 
+// room is how many bytes a packet may still take.
+type room int
+
+func packet(from string) room { return room(mostBytes - 16 - len(from)) }
+
+func (r *room) take(bytes int) bool {
+	if int(*r) < bytes {
+		return false
+	}
+	*r -= room(bytes)
+	return true
+}
+
+// What an ask or a count takes at most: their numbers as long as they can be.
+func (a Ask) size() int   { return 32 + len(a.Key.Endpoint) }
+func (n Count) size() int { return 84 + len(n.Key.Endpoint) + len(n.Who) }
+
 func (k Key) sound() bool { return len(k.Endpoint) <= keyMost }
