--- a/cmd/pinelab/fleet.go
+++ b/cmd/pinelab/fleet.go
@@ -21,6 +21,7 @@
 	couriers int
 	seed     int64
 	alone    bool
+	share    bool
 	pace     time.Duration
 	courier  string
 	dir      string
@@ -57,6 +58,7 @@
 	cmd.Flags().IntVar(&f.couriers, "couriers", 0, "how many (0: the day's own)")
 	cmd.Flags().Int64Var(&f.seed, "seed", 1, "seed of the day and of the network")
 	cmd.Flags().BoolVar(&f.alone, "alone", false, "membership off, for a comparison")
+	cmd.Flags().BoolVar(&f.share, "share", false, "couriers share limits")
 	cmd.Flags().DurationVar(&f.pace, "pace", 200*time.Millisecond, "how often a member is asked whether it is there")
 	cmd.Flags().StringVar(&f.courier, "courier", "", "the courier's binary (empty: beside this program, or built anew)")
 	cmd.Flags().StringVar(&f.dir, "dir", "", "keep the couriers' folders here, with their logs")
@@ -80,7 +82,7 @@
 		return err
 	}
 	defer clean()
-	o := fleet.Options{Binary: binary, Dir: f.dir, Seed: f.seed, Peers: !f.alone, Pace: f.pace}
+	o := fleet.Options{Binary: binary, Dir: f.dir, Seed: f.seed, Peers: !f.alone, Share: f.share && !f.alone, Pace: f.pace}
 	if f.trace != "" {
 		file, err := os.Create(f.trace)
 		if err != nil {
@@ -110,7 +112,7 @@
 	} else {
 		printFleet(cmd.OutOrStdout(), name, res)
 	}
-	if !res.Verdict.OK() || res.Verdict.Void != "" || len(res.Idle) > 0 || o.Peers && (!res.Whole || res.Fewer > 0) {
+	if !res.Verdict.OK() || res.Verdict.Void != "" || len(res.Idle) > 0 || len(res.Overspent) > 0 || o.Peers && (!res.Whole || res.Fewer > 0) {
 		return errBroken
 	}
 	return nil
@@ -138,6 +140,13 @@
 	fmt.Fprintf(w, "counted fewer than there are\t%d looks\n", res.Fewer)
 	fmt.Fprintf(w, "whole at the end\t%v, %.1f s after the last fault\n", res.Whole, res.Healed)
 	fmt.Fprintf(w, "each courier\t%.1f packets/s, %.0f bytes/s; largest %.1f MB\n", res.Messages, res.Bytes, float64(res.Cost.MaxRSS)/1024)
+	fmt.Fprintf(w, "trips\t%d, refused %d; %.3f refused for each done\n", v.Counts.Trips, v.Counts.Full, float64(v.Counts.Full)/float64(max(1, v.Counts.Done)))
+	if res.Packets > 0 {
+		fmt.Fprintf(w, "shared\t%d loans seen, at most %.2f of a part; %.1f packets/s, %.0f bytes/s each\n", res.Loans, res.Widest, res.Packets, res.ShareBytes)
+	}
+	for _, b := range res.Overspent {
+		fmt.Fprintf(w, "overspent\t%s\n", b)
+	}
 	for _, k := range slices.Sorted(maps.Keys(res.Struck)) {
 		fmt.Fprintf(w, "struck: %s\t%d\n", k, res.Struck[k])
 	}
--- a/cmd/pineport/peers_test.go
+++ b/cmd/pineport/peers_test.go
@@ -18,7 +18,7 @@
 	t.Helper()
 	listen = freePort(t)
 	configured(t, dir, func(top map[string]any) {
-		top["peers"] = map[string]any{"listen": listen, "pace_s": 0.1, "fleet": "f", "join": join}
+		top["peers"] = map[string]any{"listen": listen, "pace_s": 0.1, "fleet": "f", "join": join, "share": true}
 		top["settings"].(map[string]any)["ceilings"].(map[string]any)["peers"] = allowed
 	})
 	return listen
@@ -86,8 +86,10 @@
 	if _, err := os.Stat(filepath.Join(c.dir, "state", identity.Name)); err == nil {
 		t.Error("a start is numbered")
 	}
-	if status, _ := c.call("GET", "/peers"); status != 404 {
-		t.Errorf("/peers: %d", status)
+	for _, path := range []string{"/peers", "/commons"} {
+		if status, _ := c.call("GET", path); status != 404 {
+			t.Errorf("%s: %d", path, status)
+		}
 	}
 	if !strings.Contains(c.said(), "settings.ceilings.peers") {
 		t.Error("the log does not say why there is no membership")
@@ -141,6 +143,9 @@
 	if out, err := tool("peers", "show", "other", "--ops", old.ops, "--output", "json"); err != nil || !strings.Contains(out, `"state": "alive"`) {
 		t.Errorf("peers show: %v\n%s", err, out)
 	}
+	if out, err := tool("commons", "show", "--ops", old.ops); err != nil || !strings.Contains(out, "BORROWED") {
+		t.Errorf("commons show: %v\n%s", err, out)
+	}
 	if _, err := tool("peers", "show", "nobody", "--ops", old.ops); err == nil {
 		t.Error("a member that is not there is shown")
 	}
--- a/lab/day/day.go
+++ b/lab/day/day.go
@@ -52,6 +52,7 @@
 	FullPerSec   float64 `toml:"full_per_s" in:"0.01..1000000" unit:"records/s" doc:"the full load"`
 	Destinations int     `toml:"destinations" in:"1..1000000" doc:"how many destinations"`
 	Zipf         float64 `toml:"zipf" def:"0.9" in:"0..3" doc:"how uneven traffic is among destinations (exponent)"`
+	Uneven       float64 `toml:"uneven" def:"0" in:"0..3" doc:"how uneven it is among couriers (exponent); 0: all alike"`
 	Swing        float64 `toml:"swing" def:"0.2" in:"0..0.95" doc:"how far traffic swings about its mean, in one wave a day"`
 	Clumps       Range   `toml:"clumps" def:"[0.1,0.1]" in:"0..0.9" doc:"share of records that come in clumps for one destination"`
 	ClumpFor     Range   `toml:"clump_s" def:"[1,3]" in:"0.01..60" unit:"s of the limit" doc:"size of a clump"`
--- a/lab/day/draw.go
+++ b/lab/day/draw.go
@@ -270,10 +270,17 @@
 	for _, f := range floods {
 		most = max(most, f.times)
 	}
+	var busy picker // couriers, where traffic is uneven among them
+	if d.Traffic.Uneven > 0 {
+		busy = newPicker(weights(d.Fleet.Couriers, d.Traffic.Uneven, stream(w.Seed, 9)))
+	}
 	add := func(at logic.Micros, dest int) {
 		dst := &w.Destinations[dest]
 		a := Arrival{At: at, Dest: int32(dest), Party: int32(max(0, dst.Party)), Courier: int32(rng.IntN(d.Fleet.Couriers)), Key: -1}
 		a.Workload = int32(works[dst.Plan.Kind].draw(rng))
+		if busy != nil {
+			a.Courier = int32(busy.draw(rng))
+		}
 		if d.Workloads[a.Workload].InOrder {
 			a.Key = int32(rng.IntN(d.Traffic.Keys))
 			a.Courier = a.Key % int32(d.Fleet.Couriers) // those of one key come to one courier
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -21,6 +21,8 @@
 
 	"github.com/pelletier/go-toml/v2"
 
+	"pineport/commons"
+	"pineport/commons/exchange"
 	"pineport/lab/day"
 	"pineport/lab/ledger"
 	"pineport/lab/links"
@@ -94,6 +96,7 @@
 	Dir    string
 	Seed   int64
 	Peers  bool          // membership on
+	Share  bool          // limits are shared over it
 	Pace   time.Duration // of the detector; 0: 200 ms, so that a day of half a minute shows it
 	Trace  io.Writer     // of the network; nil: none
 	Log    *slog.Logger
@@ -117,6 +120,12 @@
 	Messages float64        `json:"packets_a_second_each"`
 	Bytes    float64        `json:"bytes_a_second_each"`
 	Hours    float64        `json:"process_hours"`
+	// Of what couriers share: loans that were seen, what was wrong with them, and what was heard.
+	Loans      int      `json:"loans_seen"`
+	Widest     float64  `json:"widest_loan"` // of a base part
+	Overspent  []string `json:"overspent,omitempty"`
+	Packets    float64  `json:"commons_packets_a_second_each"`
+	ShareBytes float64  `json:"commons_bytes_a_second_each"`
 }
 
 // look is what a courier says of its fleet.
@@ -155,6 +164,8 @@
 	res     *Result
 	looks   []look
 	traffic [2]int64
+	loans   ledger.Loans
+	shared  []exchange.Shown
 	idle    []string
 }
 
@@ -183,7 +194,7 @@
 		o.Dir = dir
 	}
 	r := &rig{plan: p, o: o, n: d.Fleet.Couriers, down: map[int]time.Time{}, back: map[int]time.Time{}, starts: map[int]int{}, on: map[string]int{},
-		saw: map[[2]int]string{}, looks: make([]look, d.Fleet.Couriers), res: &Result{Couriers: d.Fleet.Couriers, False: map[string]int{}}}
+		saw: map[[2]int]string{}, looks: make([]look, d.Fleet.Couriers), shared: make([]exchange.Shown, d.Fleet.Couriers), res: &Result{Couriers: d.Fleet.Couriers, False: map[string]int{}}}
 	if err := r.addresses(); err != nil {
 		return nil, err
 	}
@@ -241,7 +252,7 @@
 	defer r.mu.Unlock()
 	join := []string{r.gossip[0], r.gossip[(c.No+1)%r.n], r.gossip[(c.No+r.n/2)%r.n]}
 	return map[string]any{"ops": r.ops[c.No], "peers": map[string]any{"listen": r.gossip[c.No], "join": join, "fleet": "lab",
-		"key": "000102030405060708090a0b0c0d0e0f", "pace_s": r.o.Pace.Seconds(), "through": r.net.Through(c.No)},
+		"key": "000102030405060708090a0b0c0d0e0f", "pace_s": r.o.Pace.Seconds(), "share": r.o.Share, "through": r.net.Through(c.No)},
 		"settings": map[string]any{"ceilings": map[string]any{"peers": true}}}, nil
 }
 
@@ -393,15 +404,44 @@
 	r.on[kind] += by
 }
 
-// see asks a courier what it believes.
-func (r *rig) see(client *http.Client, no int) (look, bool) {
-	reply, err := client.Get("http://" + r.ops[no] + "/peers")
+// see asks a courier what it believes, and what it has lent and borrowed.
+func (r *rig) see(client *http.Client, no int) (l look, ok bool) {
+	if ok = get(client, r.ops[no], "/peers", &l); ok && r.o.Share {
+		var s exchange.Shown
+		from := r.field.Since()
+		if get(client, r.ops[no], "/commons", &s) {
+			r.borrow(no, from, r.field.Since(), s)
+		}
+	}
+	return l, ok
+}
+
+func get(client *http.Client, addr, path string, to any) bool {
+	reply, err := client.Get("http://" + addr + path)
 	if err != nil {
-		return look{}, false
+		return false
 	}
 	defer reply.Body.Close()
-	var l look
-	return l, reply.StatusCode == http.StatusOK && json.NewDecoder(reply.Body).Decode(&l) == nil
+	return reply.StatusCode == http.StatusOK && json.NewDecoder(reply.Body).Decode(to) == nil
+}
+
+// borrow holds what a courier shows of its loans against what the others show.
+func (r *rig) borrow(no int, from, to time.Duration, s exchange.Shown) {
+	lots := func(of func(commons.Line) []commons.Lot) (all [][]ledger.Lot) {
+		for _, line := range s.Lines {
+			var route []ledger.Lot
+			for _, lot := range of(line) {
+				route = append(route, ledger.Lot{Who: lot.Who, No: lot.No, Units: int64(lot.Units), Base: int64(line.Base)})
+			}
+			all = append(all, route)
+		}
+		return all
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.shared[no] = s
+	r.loans.Saw(ledger.Look{Name: fmt.Sprintf("n%d", no), Start: s.Start, From: logic.Micros(from.Microseconds()), To: logic.Micros(to.Microseconds()),
+		Lent: lots(func(l commons.Line) []commons.Lot { return l.LentTo }), Used: lots(func(l commons.Line) []commons.Lot { return l.From })})
 }
 
 // watch looks at every courier again and again, and books what changed.
@@ -509,4 +549,9 @@
 		r.res.Messages += float64(l.Figures.Network.PacketsOut) / seconds
 		r.res.Bytes += float64(l.Figures.Network.BytesOut) / seconds
 	}
+	r.res.Loans, r.res.Widest, r.res.Overspent = r.loans.Seen, r.loans.Widest, r.loans.Breaches
+	for _, s := range r.shared {
+		r.res.Packets += float64(s.Out) / seconds
+		r.res.ShareBytes += float64(s.BytesOut) / seconds
+	}
 }
--- a/lab/fleet/fleet_test.go
+++ b/lab/fleet/fleet_test.go
@@ -63,6 +63,37 @@
 	t.Logf("%v; %d records done, longest until a death was known %.1f s", res.Struck, res.Verdict.Counts.Done, longest(res.Deaths))
 }
 
+// TestSharedLimits: twelve real couriers lend one another parts of few limits, on a day with too much for them, while half of them are
+// deaf one way, one stands still, two are killed and three are cut off. Judged from outside: nobody uses a loan that its lender has back
+// or never gave, nobody lends more than half, and the rules are kept.
+func TestSharedLimits(t *testing.T) {
+	p := &Plan{Day: "shared-limits", Couriers: 12, Length: 26, Load: 4, Faults: []links.Fault{
+		{Kind: "one-way", At: 6, Length: 5, From: []int{0, 1, 2, 3, 4, 5}, To: []int{6, 7, 8, 9, 10, 11}},
+		{Kind: Stop, At: 8, Length: 5, From: []int{7}},
+		{Kind: Kill, At: 9, Length: 2, From: []int{8, 9}},
+		{Kind: "cut", At: 14, Length: 5, From: []int{0, 10, 11}},
+		{Kind: "loss", At: 20, Length: 4, From: []int{1, 2, 3}, Size: 0.3},
+		{Kind: "duplicate", At: 20, Length: 4, From: []int{4, 5, 6}, Size: 0.5},
+	}}
+	if err := p.check("here"); err != nil {
+		t.Fatal(err)
+	}
+	res, err := Play(context.Background(), p, Options{Binary: binary(t), Seed: 2, Peers: true, Share: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !res.Verdict.OK() {
+		t.Errorf("rules: %s %+v", res.Verdict.Short(), res.Verdict.Breaches)
+	}
+	for _, what := range append(res.Overspent, res.Idle...) {
+		t.Error(what)
+	}
+	if res.Loans < 20 {
+		t.Errorf("only %d loans were seen", res.Loans)
+	}
+	t.Logf("%v; %d loans, at most %.2f of a part; %d refused, %d done", res.Struck, res.Loans, res.Widest, res.Verdict.Counts.Full, res.Verdict.Counts.Done)
+}
+
 func longest(all []float64) (most float64) {
 	for _, s := range all {
 		most = max(most, s)
