Sharing of limits in virtual time, and a load that speaks for all

Cause found with them: a packet holds some ten counts, so of 80 couriers each hears of few, and the load was taken for less than it is. Now at least what those who spoke for themselves lately make likely for all counts. Tests of commons and the laboratory pass.

--- a/commons/commons.go
+++ b/commons/commons.go
@@ -170,9 +170,10 @@
 	out    []Action
 	alive  []string
 	routes map[Key]*route
-	heldTo Micros // an earlier start's loans may hold until then, see Held
-	no     uint64 // of the last beat
-	turn   int    // where the next packet's counts of others begin
+	direct map[string]Micros // who said what it uses, and when
+	heldTo Micros            // an earlier start's loans may hold until then, see Held
+	no     uint64            // of the last beat
+	turn   int               // where the next packet's counts of others begin
 	sums   Sums
 }
 
@@ -185,7 +186,7 @@
 // New makes commons that know only their terms. Asks are numbered by a source that no earlier process of this courier had. Failure: a
 // start with the same salt asked under the same numbers, and took a loan that had been given to the one before it for its own.
 func New(now Micros, t Terms) *Commons {
-	return &Commons{terms: t, rng: rand.New(rand.NewSource(t.Salt ^ int64(t.Start*0x9e3779b97f4a7c15) ^ int64(t.No))), now: now, routes: map[Key]*route{}, heldTo: now + backAfter, no: t.No}
+	return &Commons{terms: t, rng: rand.New(rand.NewSource(t.Salt ^ int64(t.Start*0x9e3779b97f4a7c15) ^ int64(t.No))), now: now, routes: map[Key]*route{}, direct: map[string]Micros{}, heldTo: now + backAfter, no: t.No}
 }
 
 // Held is how long after a start, or after the decisions began anew, half of each base part is not to be used: as much may be lent.
@@ -283,6 +284,9 @@
 	for _, l := range w.Loans {
 		c.take(w.From, l)
 	}
+	if slices.Contains(c.alive, w.From) {
+		c.direct[w.From] = c.now
+	}
 	for _, n := range w.Counts {
 		c.merge(n)
 	}
@@ -386,6 +390,7 @@
 
 // forget drops what is over.
 func (c *Commons) forget() {
+	maps.DeleteFunc(c.direct, func(_ string, at Micros) bool { return c.now-at > freshFor })
 	over := func(l loan) bool { return c.now >= l.until }
 	for k, rt := range c.routes {
 		rt.lent, rt.taken = slices.DeleteFunc(rt.lent, over), slices.DeleteFunc(rt.taken, over)
@@ -453,18 +458,29 @@
 	for _, l := range rt.lent {
 		p.Lent, p.LentTo = min(mostLent, p.Lent+float64(l.units)/float64(base)), max(p.LentTo, l.until)
 	}
-	sum, heard := rt.usage, false
-	for _, s := range rt.slots {
-		if c.now-s.at <= freshFor {
-			sum, heard = sum+s.count.Usage, true
-		}
-	}
-	if heard {
+	if sum, heard := c.load(rt); heard {
 		p.Load, p.LoadTo = float64(sum)/float64(whole), c.now+freshFor
 	}
 	return p
 }
 
+// load is what all couriers use of a limit, as far as it is known: what is known of by word, and at least as much as those who spoke
+// for themselves lately make likely for all. False where nobody was heard.
+func (c *Commons) load(rt *route) (sum Units, heard bool) {
+	known, said := Units(0), Units(0)
+	for who, s := range rt.slots {
+		if c.now-s.at > freshFor {
+			continue
+		}
+		known, heard = known+s.count.Usage, true
+		if at, ok := c.direct[who]; ok && c.now-at <= freshFor {
+			said += s.count.Usage
+		}
+	}
+	likely := float64(said) * float64(len(c.alive)) / float64(max(1, len(c.direct)))
+	return rt.usage + max(known, Units(likely)), heard
+}
+
 // spread says asks to whom they are for, and counts to some members: this courier's own first, then others' in turn.
 func (c *Commons) spread(keys []Key, asks map[string][]Ask) {
 	var own, others []Count
@@ -510,9 +526,7 @@
 				w.Counts, said = append(w.Counts, n), max(said, i+1)
 			}
 		}
-		if len(w.Asks)+len(w.Counts) > 0 {
-			c.say(name, w)
-		}
+		c.say(name, w) // also where nothing is used: that is worth knowing, too
 	}
 	c.turn += said
 }
--- /dev/null
+++ b/lab/sim/commons.go
@@ -0,0 +1,102 @@
+package sim
+
+import (
+	"fmt"
+
+	"pineport/commons"
+	"pineport/logic"
+)
+
+// Share is how couriers share limits, in virtual time; a Beat of 0: they do not. Membership is as if every courier knew at once who runs.
+type Share struct {
+	Beat logic.Micros
+	Deaf float64 // share of the couriers that hear nothing, and are heard
+	Loss float64 // share of the packets that are lost
+}
+
+const (
+	// A packet between couriers takes so long, drawn evenly: a network of one country.
+	packetLeast = 10 * 1000
+	packetMost  = 60 * 1000
+)
+
+// commune has a courier that begins share limits; an earlier start may have lent half of each of its parts.
+func (s *Sim) commune(c *courier, ch logic.Charter) logic.Charter {
+	if s.Share.Beat <= 0 {
+		return ch
+	}
+	c.commons = commons.New(s.now, commons.Terms{Self: nameOf(c.no), Start: uint64(c.life), Couriers: ch.Couriers, Salt: int64(s.rng.Uint64() >> 1)})
+	life, whole := c.life, ch
+	s.after(s.now+commons.Held, func() {
+		if c.alive && c.life == life {
+			s.tell(c, logic.Rechartered{Charter: whole})
+		}
+	})
+	s.after(s.now+logic.Micros(s.rng.Int64N(int64(s.Share.Beat))), func() { s.beat(c, life) })
+	ch.Couriers *= 2
+	return ch
+}
+
+func nameOf(no int) string { return fmt.Sprintf("n%d", no) }
+
+func (s *Sim) beat(c *courier, life int) {
+	if !c.alive || c.life != life {
+		return
+	}
+	s.after(s.now+s.Share.Beat, func() { s.beat(c, life) })
+	local, ok := s.host.(*Local)
+	if !ok || s.now < c.standsTo {
+		return
+	}
+	d, ok := local.Courier(c.no).(interface{ Needs() []logic.Need })
+	if !ok {
+		return
+	}
+	fleet, needs := commons.Fleet{Couriers: len(s.couriers)}, commons.Needs{}
+	for _, o := range s.couriers {
+		if o != c && o.alive {
+			fleet.Alive = append(fleet.Alive, nameOf(o.no))
+		}
+	}
+	for _, n := range d.Needs() {
+		needs.All = append(needs.All, commons.Need{Key: commons.Key{Dest: int32(n.Dest), Endpoint: string(n.Endpoint)}, Limit: n.Limit,
+			Calls: uint64(n.Calls), Done: uint64(n.Done), Refused: uint64(n.Refused), Waiting: n.Waiting})
+	}
+	s.commons(c, fleet, needs, commons.Beat{})
+}
+
+func (s *Sim) commons(c *courier, events ...commons.Event) {
+	for _, action := range c.commons.Handle(s.now, events...) {
+		switch a := action.(type) {
+		case commons.Share:
+			var e logic.Shared
+			for _, p := range a.Parts {
+				e.Parts = append(e.Parts, logic.SharedPart{Dest: logic.DestID(p.Dest), Endpoint: logic.EndpointID(p.Endpoint), Lent: p.Lent,
+					LentTo: p.LentTo, Loan: p.Loan, LoanTo: p.LoanTo, Load: p.Load, LoadTo: p.LoadTo})
+			}
+			if len(e.Parts) > 0 {
+				s.tell(c, e)
+			}
+		case commons.Say:
+			s.say(a)
+		}
+	}
+}
+
+func (s *Sim) say(a commons.Say) {
+	var no int
+	if _, err := fmt.Sscanf(a.To, "n%d", &no); err != nil || no >= len(s.couriers) {
+		return
+	}
+	s.stats.Packets++
+	if s.rng.Float64() < s.Share.Loss || float64(no) < s.Share.Deaf*float64(len(s.couriers)) {
+		return
+	}
+	to := s.couriers[no]
+	life := to.life
+	s.after(s.now+packetLeast+logic.Micros(s.rng.Int64N(packetMost-packetLeast)), func() {
+		if to.alive && to.life == life && s.now >= to.standsTo {
+			s.commons(to, commons.Heard{Words: a.Words})
+		}
+	})
+}
--- a/lab/sim/courier.go
+++ b/lab/sim/courier.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 
+	"pineport/commons"
 	"pineport/config"
 	"pineport/lab/ledger"
 	"pineport/lab/partner"
@@ -30,6 +31,7 @@
 	told     map[logic.EndpointID]logic.Listing  // the list as it had it last
 	newsAt   logic.Micros
 	watching bool
+	commons  *commons.Commons // nil: limits are not shared
 }
 
 // record is a record at one courier.
@@ -73,7 +75,7 @@
 	salt := int64(s.rng.Uint64() >> 1)
 	ch, err := s.w.Charter(c.no, salt)
 	if err == nil {
-		err = s.host.Start(c.no, ch, config.Flatten(s.w.Settings(c.no)))
+		err = s.host.Start(c.no, s.commune(c, ch), config.Flatten(s.w.Settings(c.no)))
 	}
 	if err != nil {
 		s.fail("%w", err)
--- a/lab/sim/sim.go
+++ b/lab/sim/sim.go
@@ -21,6 +21,7 @@
 	Events  int // of the world
 	Turns   int // of couriers
 	Actions int
+	Packets int // between couriers
 }
 
 // Sim is a day being played.
@@ -66,6 +67,8 @@
 	// Lore is how often each courier's lore is kept for its next start, as a file would; 0: never. At a planned end it is
 	// kept last.
 	Lore logic.Micros
+	// Share has couriers share limits.
+	Share Share
 }
 
 // Play plays a day.
