--- /dev/null
+++ b/commons/bench_test.go
@@ -0,0 +1,70 @@
+package commons
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+)
+
+// BenchmarkBeat is what a beat costs one courier that hears all others on all routes: time, bytes said, and what is kept.
+func BenchmarkBeat(b *testing.B) {
+	for _, size := range [][2]int{{10, 10}, {10, 1000}, {100, 100}, {300, 10}, {300, 1000}} {
+		couriers, routes := size[0], size[1]
+		b.Run(fmt.Sprintf("%d couriers, %d routes", couriers, routes), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			c := New(1, Terms{Self: "n0", Start: 1, Couriers: couriers, Salt: 1})
+			var alive []string
+			for i := 1; i < couriers; i++ {
+				alive = append(alive, fmt.Sprintf("n%d", i))
+			}
+			now, said := 10*second, 0
+			beat := func(n int) {
+				now += second / 2
+				var all []Need
+				for r := range routes {
+					all = append(all, Need{Key: Key{Dest: int32(r)}, Limit: 100, Calls: uint64(n * (1 + r%3))})
+				}
+				for _, a := range c.Handle(now, Fleet{couriers, alive}, Needs{all}, Beat{}) {
+					if s, ok := a.(Say); ok {
+						text, err := Encode(s.Words)
+						if err != nil {
+							b.Fatal(err)
+						}
+						said += len(text)
+					}
+				}
+			}
+			hear := func(n int) {
+				for i := 1; i < couriers; i++ {
+					for r := 0; r < routes; r += 10 {
+						w := Words{Version: Version, From: alive[i-1]}
+						for k := r; k < min(r+10, routes); k++ {
+							w.Counts = append(w.Counts, Count{Key: Key{Dest: int32(k)}, Who: alive[i-1], Start: 1, No: uint64(n), Usage: 100})
+						}
+						c.Handle(now, Heard{w})
+					}
+				}
+			}
+			beat(1)
+			hear(1)
+			beat(2)
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			kept := float64(after.HeapAlloc) - float64(before.HeapAlloc)
+			said = 0
+			b.ResetTimer()
+			for n := range b.N {
+				if n%4 == 3 {
+					b.StopTimer()
+					hear(n)
+					b.StartTimer()
+				}
+				beat(n + 3)
+			}
+			b.ReportMetric(float64(said)/float64(b.N), "bytes/beat")
+			b.ReportMetric(kept/1024, "KiB-kept")
+		})
+	}
+}
--- a/commons/commons.go
+++ b/commons/commons.go
@@ -51,9 +51,14 @@
 	freshFor = 3 * second
 	// rateOver is what usage is measured over: long beside a beat, short beside an outage.
 	rateOver = 2 * second
-	// mostKeys and mostSlots bound what is kept: of routes, and of couriers for each.
+	// mostKeys and mostSlots bound what is kept: routes, and counts of other couriers over all of them, some 2 MB. What is beyond is not
+	// counted into a load, which is then taken for less than it is.
 	mostKeys  = 1024
-	mostSlots = 512
+	mostSlots = 8192
+	// mostAsked members are asked at a beat, whatever the number of routes: asks wait for the next one.
+	mostAsked = 12
+	// mostOthers counts of others are gathered for a beat, more than its packets hold.
+	mostOthers = 512
 	// mostLent of a base part is away at once. Only where the fleet has more than doubled since a loan is that less than was lent.
 	mostLent = 0.9
 	// askOf members are asked at once: one that answers late or never costs a part of what is wanted.
@@ -173,7 +178,8 @@
 	direct map[string]Micros // who said what it uses, and when
 	heldTo Micros            // an earlier start's loans may hold until then, see Held
 	no     uint64            // of the last beat
-	turn   int               // where the next packet's counts of others begin
+	turn   int               // where the next packets' counts of others begin
+	kept   int               // counts of others
 	sums   Sums
 }
 
@@ -363,10 +369,13 @@
 	switch {
 	case known && cmp.Or(cmp.Compare(n.Start, was.count.Start), cmp.Compare(n.No, was.count.No)) <= 0:
 		return
-	case !known && len(rt.slots) >= mostSlots:
+	case !known && c.kept >= mostSlots:
 		c.sums.Forgotten++
 		return
 	}
+	if !known {
+		c.kept++
+	}
 	rt.slots[n.Who] = slot{n, c.now - n.Age}
 }
 
@@ -376,13 +385,13 @@
 	keys := slices.SortedFunc(maps.Keys(c.routes), compare)
 	asks := map[string][]Ask{}
 	var share Share
-	for _, k := range keys {
-		rt := c.routes[k]
-		if rt.need.Limit <= 0 {
-			continue
+	for i := range keys { // each beat another route comes first
+		if rt := c.routes[keys[(int(c.no%uint64(len(keys)))+i)%len(keys)]]; rt.need.Limit > 0 {
+			if len(asks) < mostAsked {
+				c.ask(rt, asks)
+			}
+			share.Parts = append(share.Parts, c.part(rt))
 		}
-		c.ask(rt, asks)
-		share.Parts = append(share.Parts, c.part(rt))
 	}
 	c.spread(keys, asks)
 	c.out = append(c.out, share)
@@ -392,13 +401,16 @@
 func (c *Commons) forget() {
 	maps.DeleteFunc(c.direct, func(_ string, at Micros) bool { return c.now-at > freshFor })
 	over := func(l loan) bool { return c.now >= l.until }
+	c.kept = 0
 	for k, rt := range c.routes {
 		rt.lent, rt.taken = slices.DeleteFunc(rt.lent, over), slices.DeleteFunc(rt.taken, over)
 		maps.DeleteFunc(rt.asked, func(_ uint64, a ask) bool { return c.now >= a.at+span })
 		maps.DeleteFunc(rt.slots, func(_ string, s slot) bool { return c.now-s.at > 10*freshFor })
 		if c.now-rt.usedAt > oldest && len(rt.lent) == 0 {
 			delete(c.routes, k)
+			continue
 		}
+		c.kept += len(rt.slots)
 	}
 }
 
@@ -484,11 +496,19 @@
 // spread says asks to whom they are for, and counts to some members: this courier's own first, then others' in turn.
 func (c *Commons) spread(keys []Key, asks map[string][]Ask) {
 	var own, others []Count
-	for _, k := range keys {
+	from := 0
+	if c.kept > mostOthers {
+		from = int(c.no % uint64(len(keys)))
+	}
+	for i := range keys {
+		k := keys[(from+i)%len(keys)]
 		rt := c.routes[k]
 		if n := rt.need; rt.usage > 0 {
 			own = append(own, Count{Key: k, Who: c.terms.Self, Start: c.terms.Start, No: c.no, Calls: n.Calls, Done: n.Done, Refused: n.Refused, Usage: rt.usage})
 		}
+		if len(others) >= mostOthers {
+			continue
+		}
 		for _, who := range slices.Sorted(maps.Keys(rt.slots)) {
 			if s := rt.slots[who]; c.now-s.at <= freshFor/2 {
 				n := s.count
