--- a/commons/commons.go
+++ b/commons/commons.go
@@ -55,11 +55,6 @@
 	// counted into a load, which is then taken for less than it is.
 	mostKeys  = 1024
 	mostSlots = 8192
-	// witnesses: so many others must see an outage, each by calls of its own, before it is believed; one may be at fault itself.
-	witnesses = 2
-	// illLoad is the load that is told then: with it a courier that has seen nothing yet keeps to about a quarter of its part, as what
-	// returns from an outage can do a fifth or so of what it did.
-	illLoad = 2.0
 	// mostAsked members are asked at a beat, whatever the number of routes: asks wait for the next one.
 	mostAsked = 12
 	// mostOthers counts of others are gathered for a beat, more than its packets hold.
@@ -92,8 +87,7 @@
 		Key
 		Limit                float64 // calls a second from all couriers; 0 where it is not known
 		Calls, Done, Refused uint64
-		Waiting              int  // records held for it
-		Ill                  bool // an outage is seen, or a return from one
+		Waiting              int // records held for it
 	}
 	// Fleet: so many couriers are to be reckoned with, and these others are heard.
 	Fleet struct {
@@ -479,24 +473,9 @@
 	if sum, heard := c.load(rt); heard {
 		p.Load, p.LoadTo = float64(sum)/float64(whole), c.now+freshFor
 	}
-	if c.ill(rt) {
-		p.Load, p.LoadTo = max(p.Load, illLoad), c.now+freshFor
-	}
 	return p
 }
 
-// ill tells whether others see an outage or a return. It holds back who has seen nothing yet, no more: whoever sees it by itself goes by
-// that. Hurts where so many are at fault themselves, or lie: then this courier keeps to a quarter of its part for as long as they say so.
-func (c *Commons) ill(rt *route) bool {
-	seen := 0
-	for _, s := range rt.slots {
-		if s.count.Ill && c.now-s.at <= freshFor {
-			seen++
-		}
-	}
-	return seen >= witnesses && !rt.need.Ill
-}
-
 // load is what all couriers use of a limit, as far as it is known: what is known of by word, and at least as much as those who spoke
 // for themselves lately make likely for all. False where nobody was heard.
 func (c *Commons) load(rt *route) (sum Units, heard bool) {
@@ -524,8 +503,8 @@
 	for i := range keys {
 		k := keys[(from+i)%len(keys)]
 		rt := c.routes[k]
-		if n := rt.need; rt.usage > 0 || n.Ill {
-			own = append(own, Count{Key: k, Ill: n.Ill, Who: c.terms.Self, Start: c.terms.Start, No: c.no, Calls: n.Calls, Done: n.Done, Refused: n.Refused, Usage: rt.usage})
+		if n := rt.need; rt.usage > 0 {
+			own = append(own, Count{Key: k, Who: c.terms.Self, Start: c.terms.Start, No: c.no, Calls: n.Calls, Done: n.Done, Refused: n.Refused, Usage: rt.usage})
 		}
 		if len(others) >= mostOthers {
 			continue
@@ -538,9 +517,7 @@
 			}
 		}
 	}
-	slices.SortStableFunc(own, func(a, b Count) int { // what is ill is few, and wanted soon
-		return cmp.Or(-compareBool(a.Ill, b.Ill), cmp.Compare(b.Usage, a.Usage))
-	})
+	slices.SortStableFunc(own, func(a, b Count) int { return cmp.Compare(b.Usage, a.Usage) })
 	to, hear := map[string]Words{}, map[string]bool{}
 	for _, i := range c.rng.Perm(len(c.alive))[:min(sayTo, len(c.alive))] {
 		hear[c.alive[i]] = true
@@ -574,16 +551,6 @@
 	c.turn += said
 }
 
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return 1
-	}
-	return -1
-}
-
 // Line is what stands for one route, to be shown.
 type Line struct {
 	Key
@@ -594,7 +561,6 @@
 	Usage    Units   `json:"usage_ppm"`
 	Load     float64 `json:"load"`
 	Heard    int     `json:"couriers_heard"`
-	Ill      int     `json:"couriers_that_see_an_outage"`
 	Calls    uint64  `json:"calls"`
 	Done     uint64  `json:"done"`
 	Refused  uint64  `json:"refused"`
@@ -631,9 +597,6 @@
 		for _, s := range rt.slots {
 			if c.now-s.at <= freshFor {
 				l.Heard++
-				if s.count.Ill {
-					l.Ill++
-				}
 				l.Calls, l.Done, l.Refused = l.Calls+s.count.Calls, l.Done+s.count.Done, l.Refused+s.count.Refused
 			}
 		}
--- a/commons/exchange/exchange.go
+++ b/commons/exchange/exchange.go
@@ -152,7 +152,7 @@
 func (x *Exchange) needs() (all commons.Needs) {
 	for _, n := range x.o.Needs() {
 		all.All = append(all.All, commons.Need{Key: commons.Key{Dest: int32(n.Dest), Endpoint: string(n.Endpoint)}, Limit: n.Limit,
-			Calls: uint64(n.Calls), Done: uint64(n.Done), Refused: uint64(n.Refused), Waiting: n.Waiting, Ill: n.Ill})
+			Calls: uint64(n.Calls), Done: uint64(n.Done), Refused: uint64(n.Refused), Waiting: n.Waiting})
 	}
 	return all
 }
--- a/commons/words.go
+++ b/commons/words.go
@@ -55,7 +55,6 @@
 	Done    uint64 `cbor:"7,keyasint"`
 	Refused uint64 `cbor:"8,keyasint"`
 	Usage   Units  `cbor:"9,keyasint"`
-	Ill     bool   `cbor:"10,keyasint,omitempty"` // an outage is seen, or a return from one
 }
 
 var decoder = func() cbor.DecMode {
--- a/lab/sim/commons.go
+++ b/lab/sim/commons.go
@@ -60,7 +60,7 @@
 	}
 	for _, n := range d.Needs() {
 		needs.All = append(needs.All, commons.Need{Key: commons.Key{Dest: int32(n.Dest), Endpoint: string(n.Endpoint)}, Limit: n.Limit,
-			Calls: uint64(n.Calls), Done: uint64(n.Done), Refused: uint64(n.Refused), Waiting: n.Waiting, Ill: n.Ill})
+			Calls: uint64(n.Calls), Done: uint64(n.Done), Refused: uint64(n.Refused), Waiting: n.Waiting})
 	}
 	s.commons(c, fleet, needs, commons.Beat{})
 }
--- a/logic/share.go
+++ b/logic/share.go
@@ -10,8 +10,7 @@
 	Calls    int        // since the courier began, and what became of them
 	Done     int
 	Refused  int
-	Waiting  int  // records held for the destination
-	Ill      bool // an outage is seen, or a return from one
+	Waiting  int // records held for the destination
 }
 
 // Shared brings what couriers have settled among themselves. It can only hold back, but for parts of limits that others gave up.
@@ -34,7 +33,7 @@
 // Needs is what the courier does on the routes that were called lately.
 func (c *Courier) Needs() (all []Need) {
 	for _, rt := range c.late {
-		n := Need{Dest: rt.dest.id, Limit: c.limit(rt), Calls: rt.called, Done: rt.served, Refused: rt.turned, Waiting: len(rt.dest.queue), Ill: rt.sick || rt.cold}
+		n := Need{Dest: rt.dest.id, Limit: c.limit(rt), Calls: rt.called, Done: rt.served, Refused: rt.turned, Waiting: len(rt.dest.queue)}
 		if rt.dest.shape.Apart {
 			n.Waiting /= max(1, len(rt.dest.routes))
 			for _, ep := range rt.dest.endpoints {
