--- a/logic/share.go
+++ b/logic/share.go
@@ -6,7 +6,7 @@
 type Need struct {
 	Dest     DestID
 	Endpoint EndpointID // empty where the route is the destination
-	Limit    float64    // calls a second from all couriers, as far as is known; 0 if it is not
+	Limit    float64    // calls a second from all couriers; 0 where nobody tells it, or only roughly
 	Calls    int        // since the courier began, and what became of them
 	Done     int
 	Refused  int
@@ -33,7 +33,10 @@
 // Needs is what the courier does on the routes that were called lately.
 func (c *Courier) Needs() (all []Need) {
 	for _, rt := range c.late {
-		n := Need{Dest: rt.dest.id, Limit: c.limit(rt), Calls: rt.called, Done: rt.served, Refused: rt.turned, Waiting: len(rt.dest.queue)}
+		n := Need{Dest: rt.dest.id, Calls: rt.called, Done: rt.served, Refused: rt.turned, Waiting: len(rt.dest.queue)}
+		if rt.told || c.ch.Rates == NominalRates {
+			n.Limit = c.limit(rt)
+		}
 		if rt.dest.shape.Apart {
 			n.Waiting /= max(1, len(rt.dest.routes))
 			for _, ep := range rt.dest.endpoints {
