--- a/cmd/pinelab/fleet.go
+++ b/cmd/pinelab/fleet.go
@@ -15,6 +15,7 @@
 	"gonum.org/v1/gonum/stat"
 
 	"pineport/lab/fleet"
+	"pineport/lab/report"
 )
 
 type fleetFlags struct {
@@ -63,7 +64,7 @@
 	cmd.Flags().StringVar(&f.courier, "courier", "", "the courier's binary (empty: beside this program, or built anew)")
 	cmd.Flags().StringVar(&f.dir, "dir", "", "keep the couriers' folders here, with their logs")
 	cmd.Flags().StringVar(&f.trace, "trace", "", "file for the network's trace, in JSON lines")
-	cmd.Flags().StringVar(&f.out, "out", "", "folder for the result, fleet.json")
+	cmd.Flags().StringVar(&f.out, "out", "", "folder for the result, fleet.json, and charts")
 	cmd.Flags().StringVar(&f.output, "output", "table", "table or json")
 	cmd.Flags().BoolVar(&f.list, "list", false, "list the days")
 	return cmd
@@ -106,6 +107,14 @@
 		if err := os.WriteFile(filepath.Join(f.out, "fleet.json"), text, 0o644); err != nil {
 			return err
 		}
+		if _, err := report.Day(f.out, res.Drawn, res.Verdict); err != nil {
+			return err
+		}
+		if len(res.Parts) > 0 {
+			if _, err := report.Parts(f.out, res.Parts); err != nil {
+				return err
+			}
+		}
 	}
 	if f.output == "json" {
 		fmt.Fprintln(cmd.OutOrStdout(), string(text))
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -120,14 +120,50 @@
 	Messages float64        `json:"packets_a_second_each"`
 	Bytes    float64        `json:"bytes_a_second_each"`
 	Hours    float64        `json:"process_hours"`
+	Drawn    *day.Drawn     `json:"-"`
 	// Of what couriers share: loans that were seen, what was wrong with them, and what was heard.
 	Loans      int      `json:"loans_seen"`
 	Widest     float64  `json:"widest_loan"` // of a base part
 	Overspent  []string `json:"overspent,omitempty"`
+	Parts      Parts    `json:"parts,omitempty"`
 	Packets    float64  `json:"commons_packets_a_second_each"`
 	ShareBytes float64  `json:"commons_bytes_a_second_each"`
 }
 
+// Parts is what of each limit was lent and borrowed over time, as shares of it summed over couriers, by destination and ledger.Bin.
+type Parts map[int32]*Lots
+
+// Lots is one destination's.
+type Lots struct {
+	Lent     []float64 `json:"lent"`
+	Borrowed []float64 `json:"borrowed"`
+}
+
+// total books what stands at an instant.
+func (r *rig) total(now time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	bin := int(now.Microseconds() / int64(ledger.Bin))
+	sums := map[int32][2]float64{}
+	for _, s := range r.shared {
+		for _, l := range s.Lines {
+			sum := sums[l.Dest]
+			sums[l.Dest] = [2]float64{sum[0] + float64(l.Lent)/1e6, sum[1] + float64(l.Borrowed)/1e6}
+		}
+	}
+	for dest, sum := range sums {
+		lots := r.res.Parts[dest]
+		if lots == nil {
+			lots = &Lots{}
+			r.res.Parts[dest] = lots
+		}
+		for len(lots.Lent) <= bin {
+			lots.Lent, lots.Borrowed = append(lots.Lent, 0), append(lots.Borrowed, 0)
+		}
+		lots.Lent[bin], lots.Borrowed[bin] = sum[0], sum[1]
+	}
+}
+
 // look is what a courier says of its fleet.
 type look struct {
 	Standing string `json:"standing"`
@@ -194,7 +230,7 @@
 		o.Dir = dir
 	}
 	r := &rig{plan: p, o: o, n: d.Fleet.Couriers, down: map[int]time.Time{}, back: map[int]time.Time{}, starts: map[int]int{}, on: map[string]int{},
-		saw: map[[2]int]string{}, looks: make([]look, d.Fleet.Couriers), shared: make([]exchange.Shown, d.Fleet.Couriers), res: &Result{Couriers: d.Fleet.Couriers, False: map[string]int{}}}
+		saw: map[[2]int]string{}, looks: make([]look, d.Fleet.Couriers), shared: make([]exchange.Shown, d.Fleet.Couriers), res: &Result{Couriers: d.Fleet.Couriers, False: map[string]int{}, Parts: Parts{}}}
 	if err := r.addresses(); err != nil {
 		return nil, err
 	}
@@ -206,7 +242,8 @@
 	if o.Peers {
 		lo.Extra = r.configure
 	}
-	v, cost, err := live.Play(ctx, day.Draw(d, o.Seed), lo)
+	r.res.Drawn = day.Draw(d, o.Seed)
+	v, cost, err := live.Play(ctx, r.res.Drawn, lo)
 	if err != nil {
 		return nil, err
 	}
@@ -461,6 +498,9 @@
 		}
 		all.Wait()
 		now := time.Now()
+		if r.o.Share {
+			r.total(r.field.Since())
+		}
 		for i := range r.n {
 			if ok[i] {
 				r.book(now, i, got[i])
