--- a/commons/commons.go
+++ b/commons/commons.go
@@ -347,7 +347,7 @@
 		}
 	}
 	base, away := c.base(), c.away(rt)
-	units := min(a.Units, base-away-rt.usage*5/4-base/10, base/2-away, base/4)
+	units := min(a.Units, base-away-rt.usage*5/4-base/10, base/2-away)
 	if units < max(1, base/50) {
 		return Loan{}, false
 	}
