--- a/commons/commons_test.go
+++ b/commons/commons_test.go
@@ -8,6 +8,8 @@
 	"reflect"
 	"slices"
 	"testing"
+
+	"github.com/fxamacker/cbor/v2"
 )
 
 // fleet is a few couriers' commons under one true clock, each with a clock of its own that runs a hundredth slow or fast, and words
@@ -135,7 +137,7 @@
 			p := c.part(rt)
 			sum := rt.usage
 			for _, s := range rt.slots { // of one that spoke, as much may be likely of each
-				sum += s.count.Usage * Units(f.n-1)
+				sum += s.count.Usage * Units(len(f.names)-1)
 			}
 			if p.Load > float64(sum)/float64(whole)+1e-9 {
 				return fmt.Errorf("%s hears of a load of %v, its counts make %d", c.terms.Self, p.Load, sum)
@@ -389,6 +391,84 @@
 	}
 }
 
+// TestFleetChanges: parts keep within the limit while the fleet doubles under loans that stand, and while it falls to one in three, each
+// courier hearing of it at another time. Failures meant: base parts shrink under what was lent from them; one that counts fewer early
+// takes what others still use.
+func TestFleetChanges(t *testing.T) {
+	f := newFleet(3)
+	f.need = []float64{90, 1, 1}
+	round := func() {
+		f.pass(second / 2)
+		for i := range f.all {
+			f.beat(i)
+		}
+		for len(f.way) > 0 {
+			w := f.way[0]
+			f.way = f.way[1:]
+			f.deliver(w)
+		}
+		if err := f.check(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for n := 0; f.told[0][theKey].Loan < 0.5; n++ {
+		if round(); n > 50 {
+			t.Fatalf("nothing much is lent: %+v", f.told[0][theKey])
+		}
+	}
+	f.n = 6 // membership tells all of them before the new ones begin
+	for i := range f.all {
+		f.beat(i)
+	}
+	for i := 3; i < 6; i++ {
+		f.names = append(f.names, string(rune('a'+i)))
+		f.all, f.began, f.start, f.calls = append(f.all, nil), append(f.began, 0), append(f.start, 0), append(f.calls, 0)
+		f.need, f.stood, f.dead, f.told = append(f.need, 10), append(f.stood, false), append(f.dead, false), append(f.told, nil)
+		f.begin(i)
+		for range 3 {
+			round()
+		}
+	}
+	for range 20 {
+		round()
+	}
+	for _, gone := range []int{1, 2, 4, 5} {
+		f.dead[gone] = true
+	}
+	for range 10 { // still counted: their parts lie idle
+		round()
+	}
+	f.n = 2
+	for range 20 {
+		round()
+	}
+}
+
+// TestOtherVersions: what a later version says besides is passed over; one that may not be read is refused.
+func TestOtherVersions(t *testing.T) {
+	type later struct {
+		Version int    `cbor:"1,keyasint"`
+		From    string `cbor:"2,keyasint"`
+		Asks    []Ask  `cbor:"3,keyasint"`
+		More    string `cbor:"77,keyasint"`
+	}
+	w := later{Version: Version, From: "b", Asks: []Ask{{theKey, 5, 9}}, More: "said by a later version"}
+	text, err := cbor.Marshal(w)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := Decode(text); err != nil || len(got.Asks) != 1 {
+		t.Errorf("%+v, %v", got, err)
+	}
+	w.Version++
+	if text, err = cbor.Marshal(w); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Decode(text); err == nil {
+		t.Error("a version that may not be read is")
+	}
+}
+
 // TestLiars: whatever one member says, no courier's room grows by it beyond what it asked that one for, nobody lends more than half,
 // and what is kept has an end.
 func TestLiars(t *testing.T) {
