A start holds back half of its parts, and counts no couriers twice for it

While an earlier start may have lent half of each part the router told the decisions of twice as many couriers, which also halved parties' shares and bore on crowded tables. Now the charter says until when half of each part may be lent.

--- a/lab/sim/commons.go
+++ b/lab/sim/commons.go
@@ -26,14 +26,9 @@
 		return ch
 	}
 	c.commons = commons.New(s.now, commons.Terms{Self: nameOf(c.no), Start: uint64(c.life), Couriers: ch.Couriers, Salt: int64(s.rng.Uint64() >> 1)})
-	life, whole := c.life, ch
-	s.after(s.now+commons.Held, func() {
-		if c.alive && c.life == life {
-			s.tell(c, logic.Rechartered{Charter: whole})
-		}
-	})
+	life := c.life
 	s.after(s.now+logic.Micros(s.rng.Int64N(int64(s.Share.Beat))), func() { s.beat(c, life) })
-	ch.Couriers *= 2
+	ch.LentTo = s.now + commons.Held
 	return ch
 }
 
--- a/logic/share.go
+++ b/logic/share.go
@@ -30,6 +30,9 @@
 
 func (Shared) event() {}
 
+// mostLent of a part is lent at once, by who decides on that.
+const mostLent = 0.5
+
 // Needs is what the courier does on the routes that were called lately.
 func (c *Courier) Needs() (all []Need) {
 	for _, rt := range c.late {
@@ -54,6 +57,9 @@
 func (c *Courier) share(e Shared) {
 	for _, p := range e.Parts {
 		if rt := c.routeOf(RouteLore{Dest: p.Dest, Endpoint: p.Endpoint}); rt != nil {
+			if p.LentTo < c.ch.LentTo {
+				p.Lent, p.LentTo = max(p.Lent, mostLent), c.ch.LentTo
+			}
 			rt.shared = p
 		}
 	}
--- a/logic/share_test.go
+++ b/logic/share_test.go
@@ -92,3 +92,25 @@
 		t.Errorf("needs %+v", all)
 	}
 }
+
+// TestStartHoldsBack: as long as an earlier start may have lent half of each part, half is used at most, whatever is told meanwhile;
+// then all of it. Failure meant: a lender that is killed and back uses what its borrowers still use.
+func TestStartHoldsBack(t *testing.T) {
+	ch, list := limited()
+	now := 100 * second
+	whole := New(ch)
+	whole.Handle(now, []Event{list})
+	part := whole.part(whole.dests[1].routes[0])
+	ch.LentTo = now + 4*second
+	c := New(ch)
+	c.Handle(now, []Event{list})
+	rt := c.dests[1].routes[0]
+	for _, told := range [][]Event{nil, {Shared{[]SharedPart{{Dest: 1}}}}, {Shared{[]SharedPart{{Dest: 1, Lent: 0.1, LentTo: now + second}}}}} {
+		if c.Handle(now, told); c.part(rt) < 2*part-1 {
+			t.Errorf("told %v, a call goes every %d us, the whole part is %d", told, c.part(rt), part)
+		}
+	}
+	if c.Handle(ch.LentTo, nil); c.part(rt) != part {
+		t.Errorf("then every %d us, the whole part is %d", c.part(rt), part)
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -203,7 +203,7 @@
 
 func (c *Courier) newRoute(d *dest) *route {
 	return &route{dest: d, since: c.now, lastDone: c.now, lastCall: -second, hurt: -never / 2,
-		breakers: make([]breaker, len(c.ch.Workloads))}
+		breakers: make([]breaker, len(c.ch.Workloads)), shared: SharedPart{Lent: mostLent, LentTo: c.ch.LentTo}}
 }
 
 // tally is a decaying sum; it is brought up to date when read.
--- a/logic/types.go
+++ b/logic/types.go
@@ -89,6 +89,7 @@
 	Ramp           Micros
 	FallMultiple   float64
 	KeyRest        Micros
+	LentTo         Micros // until then an earlier start may have lent half of this courier's part of each limit
 }
 
 // Phase is where an endpoint stands on the list.
--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -13,13 +13,11 @@
 func (r *Router) Parted(f func() *handover.Peers) { r.parted = f }
 
 // charter is the settings' own, with as many couriers as the fleet counts where that is more: a part of a limit can only
-// become smaller by what others say. While half of each part may be lent, this courier counts for two.
+// become smaller by what others say.
 func (r *Router) charter() logic.Charter {
 	ch := r.dep.Charter
 	ch.Couriers = max(ch.Couriers, int(r.reckoned))
-	if r.now < r.aloneTo {
-		ch.Couriers *= 2
-	}
+	ch.LentTo = r.lentTo
 	return ch
 }
 
--- a/routing/router.go
+++ b/routing/router.go
@@ -102,7 +102,7 @@
 	counted  int // couriers, as the decisions were told
 	needs    atomic.Pointer[[]logic.Need]
 	needsAt  logic.Micros
-	aloneTo  logic.Micros // until then half of each part may be lent
+	lentTo   logic.Micros // until then an earlier start may have lent half of each part
 	endBy    logic.Micros
 	leaving  bool
 	partAt   logic.Micros // from here on clients' connections are closed between requests
@@ -118,7 +118,7 @@
 	r.baseUnix = logic.Micros(r.base.UnixMicro())
 	r.now = r.baseUnix
 	r.begin = func() decider {
-		r.alone()
+		r.holdBack()
 		ch := r.charter()
 		r.counted = ch.Couriers
 		return logic.New(ch)
@@ -316,9 +316,6 @@
 // due is when something is to be done next, unasked.
 func (r *Router) due() logic.Micros {
 	at := min(r.wakeAt, r.links.due(), r.clients.due(), r.platform.due(), r.lore.due(), r.staff.due(), r.links.unwritten(), r.endBy, r.partAt)
-	if r.aloneTo > r.now {
-		at = min(at, r.aloneTo)
-	}
 	for _, t := range r.flying {
 		at = min(at, t.limit)
 	}
--- a/routing/share.go
+++ b/routing/share.go
@@ -40,10 +40,10 @@
 // shares tells whether parts of limits are shared among couriers at all.
 func (r *Router) shares() bool { return r.dep.Peers.Sharing() }
 
-// alone is told at each beginning of the decisions: an earlier start, or the decisions that failed, may have lent half of each part.
-func (r *Router) alone() {
+// holdBack is told at each beginning of the decisions: an earlier start, or the decisions that failed, may have lent half of each part.
+func (r *Router) holdBack() {
 	if r.shares() {
-		r.aloneTo = r.clock() + commons.Held
+		r.lentTo = r.clock() + commons.Held
 	}
 }
 
