What decisions and commons tell each other is put into words in one place

The exchange, the router and the laboratory each turned needs and parts into the other's types; commons/decisions.go does it once. Off, the router's turn looks at the setting before anything else.

--- a/commons/exchange/exchange.go
+++ b/commons/exchange/exchange.go
@@ -141,7 +141,7 @@
 			actions = x.commons.Handle(x.now(), commons.Heard{Words: w})
 		case <-beat.C:
 			couriers, alive := x.o.Fleet()
-			actions = x.commons.Handle(x.now(), commons.Fleet{Couriers: couriers, Alive: alive}, x.needs(), commons.Beat{})
+			actions = x.commons.Handle(x.now(), commons.Fleet{Couriers: couriers, Alive: alive}, commons.Told(x.o.Needs()), commons.Beat{})
 		case to := <-x.looks:
 			to <- x.look()
 		}
@@ -149,14 +149,6 @@
 	}
 }
 
-func (x *Exchange) needs() (all commons.Needs) {
-	for _, n := range x.o.Needs() {
-		all.All = append(all.All, commons.Need{Key: commons.Key{Dest: int32(n.Dest), Endpoint: string(n.Endpoint)}, Limit: n.Limit,
-			Calls: uint64(n.Calls), Done: uint64(n.Done), Refused: uint64(n.Refused), Waiting: n.Waiting})
-	}
-	return all
-}
-
 // carryOut does what was decided, in order: a loan is said only once the decisions go without it.
 func (x *Exchange) carryOut(ctx context.Context, actions []commons.Action) {
 	known := true
--- a/lab/sim/commons.go
+++ b/lab/sim/commons.go
@@ -47,28 +47,20 @@
 	if !ok {
 		return
 	}
-	fleet, needs := commons.Fleet{Couriers: len(s.couriers)}, commons.Needs{}
+	fleet := commons.Fleet{Couriers: len(s.couriers)}
 	for _, o := range s.couriers {
 		if o != c && o.alive {
 			fleet.Alive = append(fleet.Alive, nameOf(o.no))
 		}
 	}
-	for _, n := range d.Needs() {
-		needs.All = append(needs.All, commons.Need{Key: commons.Key{Dest: int32(n.Dest), Endpoint: string(n.Endpoint)}, Limit: n.Limit,
-			Calls: uint64(n.Calls), Done: uint64(n.Done), Refused: uint64(n.Refused), Waiting: n.Waiting})
-	}
-	s.commons(c, fleet, needs, commons.Beat{})
+	s.commons(c, fleet, commons.Told(d.Needs()), commons.Beat{})
 }
 
 func (s *Sim) commons(c *courier, events ...commons.Event) {
 	for _, action := range c.commons.Handle(s.now, events...) {
 		switch a := action.(type) {
 		case commons.Share:
-			var e logic.Shared
-			for _, p := range a.Parts {
-				e.Parts = append(e.Parts, logic.SharedPart{Dest: logic.DestID(p.Dest), Endpoint: logic.EndpointID(p.Endpoint), Lent: p.Lent,
-					LentTo: p.LentTo, Loan: p.Loan, LoanTo: p.LoanTo, Load: p.Load, LoadTo: p.LoadTo})
-			}
+			e := commons.Settled(a.Parts, func(t logic.Micros) logic.Micros { return t }) // one clock
 			if len(e.Parts) > 0 {
 				s.tell(c, e)
 			}
--- a/routing/share.go
+++ b/routing/share.go
@@ -55,22 +55,18 @@
 	at := func(t logic.Micros) logic.Micros {
 		return r.baseUnix + logic.Micros(s.zero.Add(time.Duration(t)*time.Microsecond).Sub(r.base).Microseconds())
 	}
-	var e logic.Shared
-	for _, p := range s.parts {
-		e.Parts = append(e.Parts, logic.SharedPart{Dest: logic.DestID(p.Dest), Endpoint: logic.EndpointID(p.Endpoint),
-			Lent: p.Lent, LentTo: at(p.LentTo), Loan: p.Loan, LoanTo: at(p.LoanTo), Load: p.Load, LoadTo: at(p.LoadTo)})
-	}
-	r.events = append(r.events, e)
+	r.events = append(r.events, commons.Settled(s.parts, at))
 	r.staff.answers = append(r.staff.answers, func() { close(s.taken) })
 }
 
 // tellNeeds has the decisions tell of their routes, now and then.
 func (r *Router) tellNeeds() {
-	d, ok := r.courier.(interface{ Needs() []logic.Need })
-	if !ok || !r.shares() || r.now < r.needsAt {
+	if !r.shares() || r.now < r.needsAt {
 		return
 	}
 	r.needsAt = r.now + needsEvery
-	all := d.Needs()
-	r.needs.Store(&all)
+	if d, ok := r.courier.(interface{ Needs() []logic.Need }); ok {
+		all := d.Needs()
+		r.needs.Store(&all)
+	}
 }
