A trip is noted in the spool as its first byte leaves, not as it is decided

Seen in the code and by a test: between the decision and the first byte the connection has to come up (a second at most); killed there, a message that was never sent stood in the spool as out, came back as one that may have run, and was given up with no call where it may not be repeated. Ruled out as the same: a kill between the note and the write, which cannot be told from a sent call and stays 'may have run'. Found beside it: a call for several was put together when it was decided, so it went out with messages called off while it came up; and one called off before it left passed for one that may have run.

--- a/routing/calls.go
+++ b/routing/calls.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"maps"
+	"slices"
 	"strconv"
 
 	"pineport/logic"
@@ -59,12 +60,6 @@
 	rec.trips = append(rec.trips, t)
 	rec.out++
 	r.flying = append(r.flying, t)
-	if err := r.spool.Begin(rec.kept.ID, spool.Trip{Endpoint: string(a.Endpoint), Sent: int64(r.now),
-		Zone: max(0, index(r.dep.Zones, host.Zone))}); err != nil {
-		r.check(err)
-		r.settle(t, logic.Settled{Outcome: logic.Unreachable}) // not noted, so not sent: a restart would not know
-		return calls
-	}
 	c.trips = append(c.trips, t)
 	return calls
 }
@@ -88,22 +83,64 @@
 	if len(c.trips) == 0 {
 		return
 	}
-	var items []protocol.Item
-	limit := c.waitAlike()
-	for _, t := range c.trips {
-		items = append(items, protocol.Item{ID: t.rec.kept.ID, Mark: t.rec.kept.Mark, Body: t.rec.kept.Body})
-	}
-	bytes := protocol.Call(c.host.Dial, int64((limit-r.now)/1000), items)
-	c.exchange = &exchange{peer: peerOf(c.host), bytes: bytes, whole: len(items) > 1,
-		begun: func(begun bool) { r.begun(c, begun) },
+	c.waitAlike()
+	c.exchange = &exchange{peer: peerOf(c.host),
+		begun:  func(begun bool) { r.begun(c, begun) },
+		leaves: func() error { return r.leaves(c) },
 		still: func() bool {
 			return r.hosts[c.endpoint].Health == protocol.InService && !r.staff.out[string(c.endpoint)] && r.waits[r.route(c.host)] <= r.now
 		},
-		written: func() { r.books.dispatches += int64(len(items)) },
+		written: func() { r.books.dispatches += int64(len(c.trips)) },
 		end:     func(a protocol.Answer, err error) { r.answered(c, a, err) }}
 	r.links.start(c.exchange)
 }
 
+// leaves writes down a call's trips as its first byte is about to leave, and no sooner, and puts the bytes together. Failures: noted when
+// they were decided, trips whose connection was still coming up as the process was killed passed for calls that may have run, and what may
+// not be repeated was given up after the restart with no call. Put together then, a call went out with records called off meanwhile.
+func (r *Router) leaves(c *call) error {
+	for _, t := range slices.Clone(c.trips) {
+		if t.rec.ended {
+			r.settle(t, logic.Settled{Outcome: logic.Void})
+		}
+	}
+	c.trips = slices.DeleteFunc(c.trips, func(t *trip) bool { return t.over })
+	var items []protocol.Item
+	for _, t := range c.trips {
+		if err := r.note(t, ""); err != nil {
+			r.check(err)
+			return err // so not sent: a restart would not know of it
+		}
+		items = append(items, protocol.Item{ID: t.rec.kept.ID, Mark: t.rec.kept.Mark, Body: t.rec.kept.Body})
+	}
+	if len(items) == 0 {
+		return errNobody
+	}
+	c.exchange.bytes, c.exchange.whole = protocol.Call(c.host.Dial, int64((c.limit-r.now)/1000), items), len(items) > 1
+	return nil
+}
+
+var errNobody = errors.New("nothing of it is wanted any more")
+
+// note writes a trip into the spool, once; with its outcome where it ended before it was sent.
+func (r *Router) note(t *trip, outcome string) error {
+	if t.noted {
+		return nil
+	}
+	t.noted = true
+	return r.spool.Begin(t.rec.kept.ID, spool.Trip{Endpoint: string(t.call.endpoint), Zone: max(0, index(r.dep.Zones, t.call.host.Zone)),
+		Sent: int64(t.sent), Outcome: outcome})
+}
+
+// outcome writes down how a trip ended.
+func (r *Router) outcome(t *trip, o logic.Outcome) {
+	if t.noted {
+		r.check(r.spool.Settle(t.rec.kept.ID, t.no, outcomeName(o)))
+	} else {
+		r.check(r.note(t, outcomeName(o)))
+	}
+}
+
 func peerOf(h protocol.Host) peer { return peer{host: h.Host, addr: h.Dial, born: h.Born} }
 
 // restSlack is how long the rest of an answer may take once its first bytes are here: it is written at once, and the
@@ -238,7 +275,7 @@
 		}
 		r.finish(t.rec)
 	} else if !t.rec.ended {
-		r.check(r.spool.Settle(t.rec.kept.ID, t.no, outcomeName(s.Outcome)))
+		r.outcome(t, s.Outcome)
 	}
 	s.Record, s.Trip, s.Took = logic.RecordID(t.rec.kept.ID), logic.TripNo(t.no), r.now-t.sent
 	s.Over = s.Over || t.rec.ended
@@ -268,8 +305,11 @@
 	if rec == nil || int(a.Trip) >= len(rec.trips) || rec.trips[a.Trip].over {
 		return
 	}
-	t := rec.trips[a.Trip]
-	r.settle(t, logic.Settled{Outcome: logic.Withdrawn})
+	t, o := rec.trips[a.Trip], logic.Withdrawn
+	if x := t.call.exchange; x != nil && !x.sent {
+		o = logic.Void // its connection is still coming up: it never ran
+	}
+	r.settle(t, logic.Settled{Outcome: o})
 	r.drop(t.call)
 }
 
--- a/routing/kin.go
+++ b/routing/kin.go
@@ -133,7 +133,7 @@
 		if x := t.call.exchange; x != nil && !x.sent {
 			k.land(t)
 			k.r.links.abort(x)
-			k.r.check(k.r.spool.Settle(t.rec.kept.ID, t.no, outcomeName(logic.Void)))
+			k.r.outcome(t, logic.Void)
 		}
 	}
 }
--- a/routing/links.go
+++ b/routing/links.go
@@ -13,16 +13,17 @@
 
 // exchange is one request and its answer. end is called once, unless it is given up.
 type exchange struct {
-	peer  peer
-	bytes []byte
-	whole bool // the body is needed, not just the first line
-	link  *link
-	sent  bool
-	over  bool
-	cut   bool        // part of an answer is here
-	part  []byte      // of its body
-	still func() bool // asked once more when a new connection is up; nil for always
-	begun func(bool)  // told when an answer has begun and the rest of it has not come yet; false where it was an interim one
+	peer   peer
+	bytes  []byte
+	whole  bool // the body is needed, not just the first line
+	link   *link
+	sent   bool
+	over   bool
+	cut    bool         // part of an answer is here
+	part   []byte       // of its body
+	still  func() bool  // asked once more when a new connection is up; nil for always
+	leaves func() error // told just before the first byte is written, which an error stops; nil for nobody
+	begun  func(bool)   // told when an answer has begun and the rest of it has not come yet; false where it was an interim one
 	// written is told once, when the socket has the last byte or an answer shows that it had; nil for nobody. It may lag
 	// for as long as unwritten lets it.
 	written func()
@@ -186,6 +187,14 @@
 const maxList = 1 << 20
 
 func (ls *links) write(l *link, x *exchange) {
+	if x.leaves != nil {
+		if err := x.leaves(); err != nil {
+			l.x, x.over = nil, true
+			ls.rests(l)
+			x.end(protocol.Answer{}, &protocol.Failure{Progress: protocol.BeforeLastByte, Err: err})
+			return
+		}
+	}
 	l.x, x.link, x.sent = x, l, true
 	l.turn.Add(1)
 	if err := l.conn.Write(x.bytes); err != nil {
--- a/routing/router.go
+++ b/routing/router.go
@@ -46,6 +46,7 @@
 	call  *call
 	sent  logic.Micros
 	limit logic.Micros
+	noted bool // in the spool
 	over  bool
 }
 
@@ -548,7 +549,7 @@
 		}
 		rec := &record{kept: kept}
 		for i := range kept.Trips {
-			t := &trip{rec: rec, no: i, sent: logic.Micros(kept.Trips[i].Sent), over: true}
+			t := &trip{rec: rec, no: i, sent: logic.Micros(kept.Trips[i].Sent), noted: true, over: true}
 			rec.trips = append(rec.trips, t)
 			if limit, ok := out[handover.Out{Record: kept.ID, Trip: i}]; ok {
 				r.kin.adopt(t, limit)
