What a restart found untried is not given up for newcomers

Line: the victim in makeRoom. Now a record that a restart found untried goes last, until three quarters of its life are over: its client was told that it would be tried, a newcomer has been told nothing. Hurts where all that was found waits for a destination that stays down: newcomers for others are turned away meanwhile.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -242,15 +242,15 @@
 func (c *Courier) makeRoom() {
 	c.roomy = min(c.roomy, c.held)
 	for c.held >= max(c.ch.Hold, c.roomy+1) && c.ch.Hold > 0 {
-		var victim *record
+		var victim *record // none that a restart found untried, until three quarters of its life are over
 		least := math.Inf(1)
 		for _, d := range c.waiting {
 			for i, r := range d.queue {
-				at := c.soonest(r)
+				brings, at := r.payoff/1000, c.soonest(r)
 				if at < never {
-					at = max(at, c.now) + c.mean(d.routes[0]) + Micros(i)*c.spacing(d.routes[0])
+					brings += c.worth(r, max(at, c.now)+c.mean(d.routes[0])+Micros(i)*c.spacing(d.routes[0]))
 				}
-				if brings := c.worth(r, at) + r.payoff/1000; brings < least {
+				if brings < least && (!r.untried || r.mayRan || r.cutOff-c.now < r.work.Life/4) {
 					victim, least = r, brings
 				}
 			}
--- a/logic/state.go
+++ b/logic/state.go
@@ -109,6 +109,7 @@
 	ranAt   Micros // when the first trip that may have run was sent
 	ranZone ZoneID
 	mayRan  bool
+	untried bool      // as a restart found it: nothing had run
 	last    *endpoint // where the last trip failed
 }
 
@@ -249,6 +250,7 @@
 				c.remember(p)
 			}
 		}
+		r.untried = !r.mayRan && r.out == 0
 	}
 	return r
 }
