A connection is closed or written to only while nothing lies unread in it

A close over that resets, and takes a reply on its way with it; a call written to a connection that the other side had ended could not be told from one that ran. Reading and handling are now one turn, and CloseIf and the new Quietly look into the socket (poll, nothing taken) within it. Beside it: a dial given up ends at once (it held a descriptor that nobody counted, up to 1.5 s); who had knocked as the listener closes is let in; a connection that comes up as the driver closes is closed; a reason given first is the one that is told; Close twice does nothing.

--- a/transport/transport.go
+++ b/transport/transport.go
@@ -17,6 +17,7 @@
 
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
+	"golang.org/x/sys/unix"
 )
 
 // Handler is told what happens on one connection; the calls never overlap, and Closed is the last.
@@ -31,8 +32,8 @@
 var ErrGivenUp = errors.New("given up by this side")
 
 const (
-	readBuffer = 16 << 10 // one for all connections, as a single poller reads them in turn
-	// nbio closes on the peer's end after this many reads, whatever is still unread: more than any body.
+	readBuffer = 16 << 10
+	// nbio closes on the peer's end after this many reads of one connection, whatever is still unread: more than any body.
 	readsInRow  = 64
 	writeBuffer = 1 << 20 // over the largest call, five full bodies
 )
@@ -43,6 +44,18 @@
 	listener net.Listener
 	deaf     atomic.Bool // after Deafen
 	log      *slog.Logger
+	// joined counts connections as they are given to nbio. Its tables are its own and say nothing of order: whoever finds a connection
+	// there reads this first, and sees all that stood before it was given.
+	joined atomic.Int64
+	ending sync.RWMutex // held by who gives nbio a connection
+	closed bool         // no more of those
+}
+
+// of finds the connection that nbio speaks of.
+func (d *Driver) of(raw *nbio.Conn) (*Conn, bool) {
+	d.joined.Load()
+	c, ok := raw.Session().(*Conn)
+	return c, ok
 }
 
 // Listener makes a listener of a descriptor that this process inherited; the socket stays its holder's.
@@ -63,9 +76,11 @@
 // Open starts a driver that takes clients on a listener, or where that is nil listens on addr, and makes a Handler for each connection that comes in
 // and is admitted.
 func Open(addr string, inherited net.Listener, sockets int, log *slog.Logger, admit func() bool, accept func() Handler) (*Driver, error) {
+	opening.Lock()
+	defer opening.Unlock()
 	nbio.MaxOpenFiles = sockets + 64 // nbio keeps a table of that length
 	d := &Driver{log: log}
-	logging.DefaultLogger = quiet{d}
+	latest.Store(d)
 	listen := func(network, addr string) (l net.Listener, err error) {
 		if l = inherited; l == nil {
 			l, err = net.Listen(network, addr)
@@ -74,24 +89,28 @@
 		return d.listener, err
 	}
 	d.engine = nbio.NewEngine(nbio.Config{Network: "tcp", Addrs: []string{addr}, NPoller: 1, Listen: listen,
-		ReadBufferSize: readBuffer, MaxWriteBufferSize: writeBuffer, MaxConnReadTimesPerEventLoop: readsInRow})
+		ReadBufferSize: readBuffer, MaxWriteBufferSize: writeBuffer})
 	d.engine.OnOpen(func(raw *nbio.Conn) {
 		if raw.Session() == nil { // taken in, not dialled
 			c := &Conn{raw: raw, driver: d, handler: accept()}
 			raw.SetSession(c)
 			c.guarded(func() { c.handler.Opened(c) })
+			d.joined.Add(1)
 		}
 	})
-	d.engine.OnData(func(raw *nbio.Conn, data []byte) {
-		if c, ok := raw.Session().(*Conn); ok {
-			c.guarded(func() { c.handler.Data(c, data) })
+	buffer := make([]byte, readBuffer) // one for all, as a single poller reads them in turn
+	d.engine.OnRead(func(raw *nbio.Conn) {
+		if c, ok := d.of(raw); ok {
+			c.read(raw, buffer)
 		}
 	})
 	d.engine.OnWrittenSize(func(raw *nbio.Conn, _ []byte, n int) {
-		raw.Session().(*Conn).written.Add(int64(n))
+		if c, ok := d.of(raw); ok {
+			c.written.Add(int64(n))
+		}
 	})
 	d.engine.OnClose(func(raw *nbio.Conn, err error) {
-		if c, ok := raw.Session().(*Conn); ok {
+		if c, ok := d.of(raw); ok {
 			c.ended(err)
 		}
 	})
@@ -126,14 +145,44 @@
 // admitWait is how long a connection waits for a place, which others are about to leave; the rest waits behind it.
 const admitWait = 50 * time.Millisecond
 
-// Deafen takes no more connections in; those that are up stay.
+// Deafen takes no more connections in; those that are up stay. Who had come before it is let in, within a bound. Failure: the
+// system reset who still waited there, and a request sent with the first breath of a connection had no answer.
 func (d *Driver) Deafen() {
+	for waited := time.Duration(0); waited < admitWait && d.knocked(); waited += admitWait / 50 {
+		time.Sleep(admitWait / 50)
+	}
 	d.deaf.Store(true)
 	d.listener.Close()
 }
 
-// Close ends the listener and every connection; a dial under way ends by itself, and nbio would wait for it.
+// knocked tells whether a connection waits to be accepted.
+func (d *Driver) knocked() (waits bool) {
+	l, ok := d.listener.(gate).Listener.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	if raw, err := l.SyscallConn(); err == nil {
+		raw.Control(func(fd uintptr) { waits = readable(int(fd)) })
+	}
+	return waits
+}
+
+// readable tells whether there is something to read on a descriptor, an end too, and takes nothing.
+func readable(fd int) bool {
+	set := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}}
+	n, err := unix.Poll(set, 0)
+	return err == nil && n > 0 && set[0].Revents&unix.POLLNVAL == 0
+}
+
+// Close ends the listener and every connection; a dial under way ends by itself, and nbio would wait for it. Once more does nothing.
 func (d *Driver) Close() {
+	d.ending.Lock()
+	again := d.closed
+	d.closed = true
+	d.ending.Unlock()
+	if again {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	_ = d.engine.Shutdown(ctx) // what is left ends with the process
@@ -146,7 +195,9 @@
 	state   sync.Mutex // guards raw and over
 	raw     *nbio.Conn
 	over    bool
-	turn    sync.Mutex // held while the handler runs
+	why     error      // it was closed by this side, if that had a reason of its own
+	giveUp  func()     // ends a dial that is under way
+	turn    sync.Mutex // held while bytes are read and the handler runs
 	last    bool       // Closed was told
 	queued  atomic.Int64
 	written atomic.Int64
@@ -155,15 +206,23 @@
 // Dial brings up a connection in the background. nbio's own DialAsync gives no hold of a dial that is under
 // way and reports a refused one as up, so a goroutine waits here.
 func (d *Driver) Dial(addr string, within time.Duration, handler Handler) *Conn {
-	c := &Conn{driver: d, handler: handler}
+	ctx, giveUp := context.WithTimeout(context.Background(), within)
+	c := &Conn{driver: d, handler: handler, giveUp: giveUp}
 	go func() {
-		raw, err := nbio.DialTimeout("tcp", addr, within)
+		defer giveUp()
+		conn, err := new(net.Dialer).DialContext(ctx, "tcp", addr)
+		if err != nil {
+			c.ended(err)
+			return
+		}
+		raw, err := nbio.NBConn(conn)
 		if err != nil {
+			conn.Close()
 			c.ended(err)
 			return
 		}
 		raw.SetSession(c)
-		if _, err := d.engine.AddConn(raw); err != nil {
+		if err := d.join(raw); err != nil {
 			raw.Close()
 			c.ended(err)
 			return
@@ -181,6 +240,18 @@
 	return c
 }
 
+// join gives nbio a connection, unless the driver is closed.
+func (d *Driver) join(raw *nbio.Conn) error {
+	d.ending.RLock()
+	defer d.ending.RUnlock()
+	if d.closed {
+		return net.ErrClosed
+	}
+	d.joined.Add(1)
+	_, err := d.engine.AddConn(raw)
+	return err
+}
+
 // Write hands bytes to the socket; what does not fit goes later.
 func (c *Conn) Write(b []byte) error {
 	raw := c.up()
@@ -209,28 +280,51 @@
 	}
 }
 
-// Close gives the connection up; Closed follows.
-func (c *Conn) Close() {
+// Close gives the connection up; Closed follows. A dial that is under way ends. Failure: it went on, and held a descriptor that
+// nobody counted any more.
+func (c *Conn) Close() { c.Fail(ErrGivenUp) }
+
+// Fail closes the connection for a reason, which Closed is told. What was written by then was written, and nothing is later: only in
+// Closed is Flushed the last word.
+func (c *Conn) Fail(why error) {
 	c.state.Lock()
 	c.over = true
 	raw := c.raw
+	if c.why == nil {
+		c.why = why
+	}
 	c.state.Unlock()
 	if raw != nil {
-		raw.CloseWithError(ErrGivenUp)
+		raw.CloseWithError(why)
+	} else if c.giveUp != nil {
+		c.giveUp()
 	}
 }
 
-// CloseIf closes the connection if rests, which is asked while the handler stands still, says so. It does not
-// wait for a handler that runs, which may itself be waiting for the caller.
+// CloseIf closes the connection if rests, which is asked while the handler stands still, says so, and nothing that came lies unread. It
+// does not wait for a handler that runs, which may itself be waiting for the caller.
 func (c *Conn) CloseIf(rests func() bool) bool {
+	closed := false
+	c.Quietly(func() {
+		if closed = rests(); closed {
+			c.Close()
+		}
+	})
+	return closed
+}
+
+// Quietly runs f while the handler stands still, if nothing that came lies unread and the other side has not ended, and tells whether it
+// did. Failures: a connection was closed over a request just read, or over one that lay unread, which resets it and takes with it what
+// the other side has not received yet; a call was written to a connection that the other side had closed, and may have run for all one knew.
+func (c *Conn) Quietly(f func()) bool {
 	if !c.turn.TryLock() {
 		return false
 	}
 	defer c.turn.Unlock()
-	if c.last || !rests() {
+	if raw := c.up(); c.last || c.isOver() || raw != nil && readable(raw.Hash()) { // its hash is the descriptor
 		return false
 	}
-	c.Close()
+	f()
 	return true
 }
 
@@ -252,6 +346,9 @@
 func (c *Conn) ended(err error) {
 	c.state.Lock()
 	c.over = true
+	if c.why != nil {
+		err = c.why
+	}
 	c.state.Unlock()
 	c.turn.Lock()
 	told := c.last
@@ -262,6 +359,33 @@
 	}
 }
 
+// read hands over what has come, as the poller's turn is. Reading and handling are one: whoever holds the turn knows that all that was read
+// was handled.
+func (c *Conn) read(raw *nbio.Conn, buffer []byte) {
+	for range readsInRow {
+		c.turn.Lock()
+		if c.last || c.isOver() {
+			c.turn.Unlock()
+			return
+		}
+		n, err := raw.Read(buffer)
+		if n > 0 {
+			c.run(func() { c.handler.Data(c, buffer[:n]) })
+		}
+		c.turn.Unlock()
+		switch {
+		case errors.Is(err, syscall.EINTR):
+		case errors.Is(err, syscall.EAGAIN):
+			return
+		case err != nil:
+			raw.CloseWithError(err)
+			return
+		case n < len(buffer):
+			return
+		}
+	}
+}
+
 // guarded runs the handler unless the connection has ended.
 func (c *Conn) guarded(f func()) {
 	c.turn.Lock()
@@ -282,16 +406,24 @@
 	f()
 }
 
+// What nbio has one of for the whole process: its limit is set, and read, as a driver opens; its words go to the latest driver's log.
+var (
+	opening sync.Mutex
+	latest  atomic.Pointer[Driver]
+)
+
+func init() { logging.DefaultLogger = quiet{} }
+
 // quiet sends nbio's own words to the log; what it says of its start and its end is left out.
-type quiet struct{ d *Driver }
+type quiet struct{}
 
-func (q quiet) SetLevel(int)            {}
-func (q quiet) Debug(string, ...any)    {}
-func (q quiet) Info(string, ...any)     {}
-func (q quiet) Warn(f string, v ...any) { q.d.log.Warn(fmt.Sprintf(f, v...)) }
+func (quiet) SetLevel(int)            {}
+func (quiet) Debug(string, ...any)    {}
+func (quiet) Info(string, ...any)     {}
+func (quiet) Warn(f string, v ...any) { latest.Load().log.Warn(fmt.Sprintf(f, v...)) }
 
-func (q quiet) Error(f string, v ...any) {
-	if !q.d.deaf.Load() {
-		q.d.log.Error(fmt.Sprintf(f, v...))
+func (quiet) Error(f string, v ...any) {
+	if d := latest.Load(); !d.deaf.Load() {
+		d.log.Error(fmt.Sprintf(f, v...))
 	}
 }
