Calls crossed by an end, an answer or a word from the endpoint keep what is known

Found by reading, each forced over loopback with the router stepped by hand: - An endpoint ended a connection at rest as the next call was written: it may have run for all one knew, and what may not be repeated was given up. Line: start in links.go. Now the socket is looked into first, and such a call goes over a new connection. - An answer that lay in the inbox as its time ran out, or as its trip was called off, passed for none: a delivered record was sent again or given up. Lines: overdue and cancel in calls.go. Now the answer says more. - A loss that a handler found was told while the router might be writing, so "flushed" was no last word; now only the end of the connection tells. Ruled out: a loss taken for another turn's (told once for each connection, after which no write succeeds). What cannot be known stays "may have run".

--- a/routing/calls.go
+++ b/routing/calls.go
@@ -284,8 +284,12 @@
 	r.forget(t.rec)
 }
 
-// overdue ends a trip that was waited for long enough.
+// overdue ends a trip that was waited for long enough, unless its answer is here and only not taken in yet. Failure: a delivered record
+// passed for one without an answer.
 func (r *Router) overdue(t *trip) {
+	if r.links.heard(t.call.exchange) {
+		return
+	}
 	s := logic.Settled{Outcome: logic.TimedOut}
 	switch x := t.call.exchange; {
 	case t.call.elder: // the other process has said nothing of it for longer than it should wait
@@ -306,6 +310,9 @@
 		return
 	}
 	t, o := rec.trips[a.Trip], logic.Withdrawn
+	if r.links.heard(t.call.exchange) {
+		return // its answer is here: that says more
+	}
 	if x := t.call.exchange; x != nil && !x.sent {
 		o = logic.Void // its connection is still coming up: it never ran
 	}
--- a/routing/crossings_test.go
+++ b/routing/crossings_test.go
@@ -1,9 +1,17 @@
 package routing
 
 import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
+	"pineport/lab/port"
 	"pineport/lab/scripted"
 	"pineport/logic"
 	"pineport/spool"
@@ -134,3 +142,236 @@
 		t.Errorf("of the one called off a restart would find %+v", rec.Trips)
 	}
 }
+
+// stop has the poller stand still until goOn is called: what comes lies in the sockets.
+func stop(t *testing.T, r *Router) (goOn func()) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	h := &standing{make(chan struct{}), make(chan struct{})}
+	goOn = sync.OnceFunc(func() { close(h.goOn) })
+	t.Cleanup(goOn)
+	r.driver.Dial(l.Addr().String(), 5*time.Second, h)
+	conn, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	io.WriteString(conn, "x")
+	select {
+	case <-h.stands:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the poller does not stand still")
+	}
+	return goOn
+}
+
+// standing is a connection whose handler stands still.
+type standing struct{ stands, goOn chan struct{} }
+
+func (*standing) Opened(*transport.Conn)        {}
+func (*standing) Closed(*transport.Conn, error) {}
+
+func (h *standing) Data(*transport.Conn, []byte) {
+	close(h.stands)
+	<-h.goOn
+}
+
+// visitor is a client of the test's.
+type visitor struct {
+	*net.TCPConn
+	in *bufio.Reader
+}
+
+func visit(t *testing.T, r *Router) *visitor {
+	t.Helper()
+	conn, err := net.Dial("tcp", r.dep.Listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	conn.SetDeadline(time.Now().Add(10 * time.Second))
+	r.take(until(t, r, func(*client) bool { return true }))
+	return &visitor{conn.(*net.TCPConn), bufio.NewReader(conn)}
+}
+
+func enqueue(id string) string {
+	return fmt.Sprintf("*5\r\n$7\r\nENQUEUE\r\n$1\r\n0\r\n$%d\r\n%s\r\n$21\r\nc=order,d=8000,dest=1\r\n$1\r\nx\r\n", len(id), id)
+}
+
+// asks writes a request and waits until it lies at the router, untaken.
+func (v *visitor) asks(t *testing.T, r *Router, id string) commands {
+	t.Helper()
+	io.WriteString(v, enqueue(id))
+	return until(t, r, func(commands) bool { return true })
+}
+
+// reply is the next line, or why there is none.
+func (v *visitor) reply() string {
+	line, err := v.in.ReadString('\n')
+	if err != nil {
+		return err.Error()
+	}
+	return strings.TrimSpace(line)
+}
+
+// raw is an endpoint whose connections are the test's own.
+func raw(t *testing.T, w *scripted.World) *net.TCPListener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	w.Endpoints = []string{l.Addr().String()}
+	return l.(*net.TCPListener)
+}
+
+// called accepts a connection and reads the call that comes over it.
+func called(t *testing.T, l *net.TCPListener) *net.TCPConn {
+	t.Helper()
+	l.SetDeadline(time.Now().Add(10 * time.Second))
+	conn, err := l.AcceptTCP()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	reads(t, conn)
+	return conn
+}
+
+func reads(t *testing.T, conn *net.TCPConn) string {
+	t.Helper()
+	conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+	b := make([]byte, 4096)
+	n, err := conn.Read(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(b[:n])
+}
+
+// sent has a router send what it holds to the test's endpoint, and reads it there.
+func sent(t *testing.T, r *Router, l *net.TCPListener) *net.TCPConn {
+	t.Helper()
+	r.turn()
+	r.take(until(t, r, func(e linkUp) bool { return toEndpoint(e.on) }))
+	return called(t, l)
+}
+
+// TestAnEndThatCrossesACall. Failure: an endpoint ended a connection at rest just as the next call was written to it; the call may have
+// run for all one knew, and what may not be repeated was given up. Now it goes over a new connection.
+func TestAnEndThatCrossesACall(t *testing.T) {
+	w := open(t, 0)
+	l := raw(t, w)
+	r := byHand(t, w, single("one"))
+	conn := sent(t, r, l)
+	io.WriteString(conn, okAnswer)
+	r.take(until(t, r, func(e linkAnswer) bool { return toEndpoint(e.on) }))
+	r.turn()
+	goOn := stop(t, r)
+	conn.CloseWrite()
+	if !port.Arrived(conn) {
+		t.Fatal("its end never arrived")
+	}
+	if err := r.spool.Take(single("two")); err != nil {
+		t.Fatal(err)
+	}
+	r.recover([]*spool.Record{single("two")}, nil)
+	r.turn()
+	if out := r.records["two"].trips; len(out) != 1 || out[0].call.exchange.sent {
+		t.Fatalf("%d trips; written to what had ended", len(out))
+	}
+	goOn()
+	r.take(until(t, r, func(e linkUp) bool { return toEndpoint(e.on) }))
+	io.WriteString(called(t, l), okAnswer)
+	r.take(until(t, r, func(e linkAnswer) bool { return toEndpoint(e.on) }))
+	if r.turn(); r.records["two"] != nil {
+		t.Error("not delivered")
+	}
+}
+
+// TestAnAnswerThatCrossesItsTime. Failure: an answer that lay at the router, untaken, as the time for it ran out, or as its trip was called
+// off, passed for none; a delivered record was sent again, or given up.
+func TestAnAnswerThatCrossesItsTime(t *testing.T) {
+	for name, cross := range map[string]func(r *Router, tr *trip){
+		"overdue":    func(r *Router, tr *trip) { r.overdue(tr) },
+		"called off": func(r *Router, tr *trip) { r.cancel(logic.Cancel{Record: "one"}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := open(t, 0)
+			l := raw(t, w)
+			r := byHand(t, w, single("one"))
+			io.WriteString(sent(t, r, l), okAnswer)
+			answer := until(t, r, func(e linkAnswer) bool { return toEndpoint(e.on) })
+			tr := r.records["one"].trips[0]
+			cross(r, tr)
+			if tr.over {
+				t.Error("ended although its answer is here")
+			}
+			r.take(answer)
+			if s, ok := r.events[len(r.events)-1].(logic.Settled); !ok || s.Outcome != logic.Done {
+				t.Errorf("ended as %+v", r.events)
+			}
+		})
+	}
+}
+
+// TestAWordBeforeTheCall: an endpoint that speaks first is told of once and gets nothing; nothing of the call has run.
+func TestAWordBeforeTheCall(t *testing.T) {
+	w := open(t, 0)
+	l := raw(t, w)
+	r := byHand(t, w, single("one"))
+	r.turn()
+	up := until(t, r, func(e linkUp) bool { return toEndpoint(e.on) })
+	conn, err := l.AcceptTCP()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	io.WriteString(conn, okAnswer)
+	down := until(t, r, func(e linkDown) bool { return toEndpoint(e.on) })
+	r.take(up)
+	if !errors.Is(down.err, errUnasked) {
+		t.Errorf("ended by %v", down.err)
+	}
+	r.take(down)
+	if rec := onDisk(t, r, "one"); len(rec.Trips) != 1 || rec.Trips[0].Outcome != "unreachable" {
+		t.Errorf("a restart would find %+v", rec.Trips)
+	}
+	conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+	if n, _ := conn.Read(make([]byte, 1)); n > 0 {
+		t.Error("the call was written all the same")
+	}
+	if r.turn(); r.records["one"] == nil || r.records["one"].ended {
+		t.Error("given up, though it never ran")
+	}
+}
+
+// TestNotSentUnlessNoted: what the disk does not take is not sent, as a restart would not know of it.
+func TestNotSentUnlessNoted(t *testing.T) {
+	w := open(t, 0)
+	l := raw(t, w)
+	r := byHand(t, w, single("one"))
+	r.turn()
+	up := until(t, r, func(e linkUp) bool { return toEndpoint(e.on) })
+	r.spool.Close()
+	r.take(up)
+	tr := r.records["one"].trips[0]
+	if !tr.over || tr.call.exchange.sent {
+		t.Errorf("over %v, sent %v", tr.over, tr.call.exchange.sent)
+	}
+	conn, err := l.AcceptTCP()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	r.links.closeResting()
+	conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+	if n, err := conn.Read(make([]byte, 1)); n > 0 || err != io.EOF {
+		t.Errorf("%d bytes came, then %v", n, err)
+	}
+}
--- a/routing/links.go
+++ b/routing/links.go
@@ -53,7 +53,7 @@
 	conn   *transport.Conn
 	parser *protocol.Answers
 	turn   atomic.Int64 // how many requests were written
-	had    int64        // the turn whose answer was complete; the poller's own, as the parser
+	had    atomic.Int64 // the turn whose answer was complete; written by the poller, whose own the parser is
 	told   int64        // the turn of which the router knows that its answer has begun, else 0
 	x      *exchange
 	idle   logic.Micros // since when
@@ -87,9 +87,8 @@
 
 func (l *link) Data(conn *transport.Conn, b []byte) {
 	turn := l.turn.Load()
-	if l.had == turn {
-		l.lost(conn, errUnasked)
-		conn.Close()
+	if l.had.Load() == turn {
+		conn.Fail(errUnasked)
 		return
 	}
 	a, done, err := l.parser.Feed(b)
@@ -98,7 +97,7 @@
 	begun = begun && (status == 0 || status >= 200) // the first bytes of its first line are enough: a peer may fall silent there
 	switch {
 	case done:
-		l.had = turn
+		l.had.Store(turn)
 		a.Close = a.Close || err != nil
 		l.router.inbox <- linkAnswer{l, turn, a}
 	case err == nil && begun != (l.told == turn):
@@ -108,8 +107,7 @@
 		l.router.inbox <- linkBegun{l, turn, begun, slices.Clone(l.parser.Part())}
 	}
 	if err != nil {
-		l.lost(conn, err)
-		conn.Close()
+		conn.Fail(err)
 	}
 }
 
@@ -124,10 +122,6 @@
 	if err == nil {
 		err = errors.New("closed by the other side")
 	}
-	l.lost(conn, err)
-}
-
-func (l *link) lost(conn *transport.Conn, err error) {
 	status, _ := l.parser.Begun()
 	l.router.inbox <- linkDown{l, l.turn.Load(), status, slices.Clone(l.parser.Part()), conn.Flushed(), err}
 }
@@ -162,8 +156,7 @@
 	for pool := ls.idle[x.peer]; len(pool) > 0; pool = ls.idle[x.peer] {
 		l := pool[len(pool)-1]
 		ls.idle[x.peer] = pool[:len(pool)-1]
-		if ls.all[l] && ls.r.now-l.idle < ls.rest {
-			ls.write(l, x)
+		if ls.all[l] && ls.r.now-l.idle < ls.rest && l.conn.Quietly(func() { ls.write(l, x) }) {
 			return
 		}
 		ls.close(l)
@@ -227,6 +220,11 @@
 // out tells whether the last byte of an exchange has been handed to the socket.
 func (ls *links) out(x *exchange) bool { return x.sent && x.link.conn.Flushed() }
 
+// heard tells whether the whole answer to an exchange has come; it may not be taken in yet.
+func (ls *links) heard(x *exchange) bool {
+	return x != nil && x.sent && !x.over && ls.all[x.link] && x.link.had.Load() == x.link.turn.Load()
+}
+
 // abort gives up an exchange; its connection goes with it.
 func (ls *links) abort(x *exchange) {
 	if x == nil || x.over {
