A request handed in once more is known for as long as its client may come with it

Found by reading, forced over loopback: - A reset took away a reply that the socket had; the client sent the request once more, the record was over by then, and was taken on anew: a second effect. Line: enqueue knew an id only while its record was held. Ids of what is over are now kept for a second from when it was taken on (a client waits 400 ms, and comes with a new id after that), 4,096 at most. Over a restart they are not: it takes 0.6 s at the least. - A repeat in the turn that took the record on was promised what went with the first connection as that ended, or what was refused in that turn. Lines: gone and end. Now each of them waits for the same end. Ruled out: the spool (it forgets what is over, rightly).

--- a/routing/calls.go
+++ b/routing/calls.go
@@ -255,6 +255,7 @@
 			if s.Outcome == logic.Done {
 				r.count(t.rec.kept.Workload, delivered)
 			}
+			r.clients.over.add(t.rec, r.now)
 			r.finish(t.rec)
 			r.events = append(r.events, logic.Left{Record: logic.RecordID(t.rec.kept.ID)})
 			r.forget(t.rec)
@@ -273,6 +274,7 @@
 		if !t.rec.ended && s.Outcome == logic.Done {
 			r.count(t.rec.kept.Workload, delivered)
 		}
+		r.clients.over.add(t.rec, r.now)
 		r.finish(t.rec)
 	} else if !t.rec.ended {
 		r.outcome(t, s.Outcome)
--- a/routing/clients.go
+++ b/routing/clients.go
@@ -119,8 +119,40 @@
 	bytes   atomic.Int64 // held of commands that are not whole, by all together
 	room    atomic.Int64 // for those
 	sweepAt logic.Micros
+	over    over
 }
 
+// over are records that were taken on and have ended, for as long as their clients may hand them in once more. Failure: a reset took away
+// a reply that the socket had; the client sent the same request again, the record was over by then, and was taken on a second time.
+type over struct {
+	until map[logic.RecordID]logic.Micros
+	order []logic.RecordID // oldest first
+}
+
+const (
+	// A client waits 400 ms for its reply, and whatever it hands in later has a new id (PROTOCOL); the longest way is a fifth of a second.
+	onceMore = 1000 * 1000
+	overMost = 4096 // a hundred times what ends in that time at a busy courier
+)
+
+func (o *over) add(rec *record, now logic.Micros) {
+	for len(o.order) > 0 && (o.until[o.order[0]] <= now || len(o.order) >= overMost) {
+		delete(o.until, o.order[0])
+		o.order = o.order[1:]
+	}
+	id, until := logic.RecordID(rec.kept.ID), rec.taken+onceMore
+	if until > now && o.until[id] == 0 {
+		if o.until == nil {
+			o.until = map[logic.RecordID]logic.Micros{}
+		}
+		o.until[id] = until
+		o.order = append(o.order, id)
+	}
+}
+
+// has tells whether a record was taken on and is over.
+func (o *over) has(id logic.RecordID, now logic.Micros) bool { return o.until[id] > now }
+
 func (cs *clients) init(r *Router) {
 	cs.r, cs.all, cs.sweepAt = r, map[*client]bool{}, never
 	cs.limit()
@@ -210,14 +242,20 @@
 	}
 }
 
-// gone: what such a client handed in and was not told of is nobody's; it hands it in anew.
+// gone: what such a client handed in and was not told of is nobody's, unless it has handed it in over another connection too; else it
+// hands it in anew. Failure: the other connection was promised what had gone with the first.
 func (cs *clients) gone(e clientGone) {
 	delete(cs.all, e.from)
 	for _, rep := range cs.r.replies {
-		if rep.client == e.from && rep.rec != nil {
-			cs.r.finish(rep.rec)
-			cs.r.events = append(cs.r.events, logic.Left{Record: logic.RecordID(rep.rec.kept.ID)})
-			cs.r.forget(rep.rec)
+		rec := rep.rec
+		if rep.client != e.from || rec == nil {
+			continue
+		}
+		rep.rec = nil
+		if rec.waiting = slices.DeleteFunc(rec.waiting, func(o *reply) bool { return o == rep }); len(rec.waiting) == 0 {
+			cs.r.finish(rec)
+			cs.r.events = append(cs.r.events, logic.Left{Record: logic.RecordID(rec.kept.ID)})
+			cs.r.forget(rec)
 		}
 	}
 }
@@ -304,7 +342,12 @@
 		rep.text = protocol.ReplyError(err.Error())
 		return
 	}
-	if r.records[logic.RecordID(e.ID)] != nil {
+	switch rec := r.records[logic.RecordID(e.ID)]; {
+	case rec != nil && len(rec.waiting) > 0: // sent once more in the turn that takes it on: whatever the first reply is
+		rep.rec, rep.text = rec, protocol.ReplyOK
+		rec.waiting = append(rec.waiting, rep)
+		return
+	case rec != nil || cs.over.has(logic.RecordID(e.ID), r.now):
 		rep.text = protocol.ReplyOK // sent once more after a closed connection: it was taken on
 		return
 	}
@@ -319,7 +362,7 @@
 		return
 	}
 	rep.text = protocol.ReplyOK
-	rep.rec = &record{kept: kept, waiting: rep}
+	rep.rec = &record{kept: kept, waiting: []*reply{rep}, taken: r.now}
 	r.records[logic.RecordID(e.ID)] = rep.rec
 	r.books.taken()
 	r.events = append(r.events, r.taken(kept))
--- a/routing/crossings_test.go
+++ b/routing/crossings_test.go
@@ -375,3 +375,119 @@
 		t.Errorf("%d bytes came, then %v", n, err)
 	}
 }
+
+// TestHandedInTwiceAtOnce. Failure: a request sent again over a new connection in the turn that took it on was promised what went with
+// the first connection as that ended, or what was refused in that turn.
+func TestHandedInTwiceAtOnce(t *testing.T) {
+	for name, c := range map[string]struct {
+		gone  int // whose connection ends before the turn, 0 for nobody's
+		busy  bool
+		want  string // for whoever stays
+		keeps bool
+	}{
+		"first gone": {1, false, "+OK", true}, "second gone": {2, false, "+OK", true}, "both stay": {0, false, "+OK", true},
+		"refused": {0, true, "-BUSY 7", false}, "first gone, refused": {1, true, "-BUSY 7", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := byHand(t, open(t, 0))
+			if c.busy {
+				r.courier = refusing{}
+			}
+			first, second := visit(t, r), visit(t, r)
+			one := first.asks(t, r, "one")
+			two := second.asks(t, r, "one")
+			r.take(one)
+			r.take(two)
+			stay := []*visitor{first, second}
+			if c.gone > 0 {
+				stay[c.gone-1].SetLinger(0)
+				stay[c.gone-1].Close()
+				from := []commands{one, two}[c.gone-1].from
+				for gone := false; !gone; { // no turn in between
+					what := <-r.inbox
+					e, ok := what.(clientGone)
+					gone = ok && e.from == from
+					r.take(what)
+				}
+				stay = []*visitor{stay[2-c.gone]}
+			}
+			r.turn()
+			for _, v := range stay {
+				if got := v.reply(); got != c.want {
+					t.Errorf("told %q", got)
+				}
+			}
+			if keeps := onDisk(t, r, "one") != nil; keeps != c.keeps {
+				t.Errorf("kept %v", keeps)
+			}
+		})
+	}
+}
+
+// refusing are decisions that bounce whatever is taken on.
+type refusing struct{}
+
+func (refusing) Handle(_ logic.Micros, events []logic.Event) (actions []logic.Action) {
+	for _, event := range events {
+		if e, ok := event.(logic.Taken); ok {
+			actions = append(actions, logic.Bounce{Record: e.Record, Pause: 7000})
+		}
+	}
+	return actions
+}
+
+// TestBothGoneBeforeTheTurn: what nobody waits for any more, and nobody was told of, is nobody's.
+func TestBothGoneBeforeTheTurn(t *testing.T) {
+	r := byHand(t, open(t, 0))
+	first, second := visit(t, r), visit(t, r)
+	one, two := first.asks(t, r, "one"), second.asks(t, r, "one")
+	for _, e := range []any{one, two, clientGone{one.from}, clientGone{two.from}} {
+		r.take(e)
+	}
+	if r.turn(); onDisk(t, r, "one") != nil || r.records["one"] != nil {
+		t.Error("still held")
+	}
+}
+
+// TestHandedInOnceMoreAfterItsEnd. Failure: a reset took away a reply that the socket had; the request came once more, was over by then, and
+// was taken on anew: a second effect.
+func TestHandedInOnceMoreAfterItsEnd(t *testing.T) {
+	w := open(t, 0)
+	r := byHand(t, w)
+	first := visit(t, r)
+	r.take(first.asks(t, r, "one"))
+	r.turn()
+	first.SetLinger(0) // whatever reply it had is gone
+	first.Close()
+	for r.records["one"] != nil {
+		r.take(until(t, r, func(e linkAnswer) bool { return toEndpoint(e.on) }))
+		r.turn()
+	}
+	second := visit(t, r)
+	r.take(second.asks(t, r, "one"))
+	r.turn()
+	if got := second.reply(); got != "+OK" || r.records["one"] != nil {
+		t.Errorf("told %q, held again %v", got, r.records["one"] != nil)
+	}
+	if began, _, _ := w.Seen("one"); began != 1 {
+		t.Errorf("%d calls", began)
+	}
+}
+
+// TestEndsAreForgotten: ids of what is over are known for as long as a client may come with them once more, and never too many.
+func TestEndsAreForgotten(t *testing.T) {
+	var o over
+	for i := range 3 * overMost {
+		o.add(&record{kept: &spool.Record{ID: fmt.Sprint(i)}, taken: 5}, 5)
+	}
+	if len(o.until) > overMost || len(o.order) > overMost || !o.has(logic.RecordID(fmt.Sprint(3*overMost-1)), 5) {
+		t.Errorf("%d ids, %d in order", len(o.until), len(o.order))
+	}
+	if o.has(logic.RecordID(fmt.Sprint(3*overMost-1)), 5+onceMore) {
+		t.Error("known for ever")
+	}
+	o.add(&record{kept: &spool.Record{ID: "late"}, taken: 5}, 5+onceMore)
+	if len(o.until) > 0 || len(o.order) > 0 {
+		t.Errorf("%d ids are left", len(o.until))
+	}
+}
--- a/routing/router.go
+++ b/routing/router.go
@@ -33,7 +33,8 @@
 // record is what is held beside the decisions: what goes on the wire, and what is out.
 type record struct {
 	kept    *spool.Record
-	waiting *reply // the client's, until it is written
+	waiting []*reply     // until they are written; more than one where it was handed in again in the same turn
+	taken   logic.Micros // or taken up again
 	trips   []*trip
 	out     int
 	ended   bool
@@ -547,7 +548,7 @@
 			r.platform.tell(kept)
 			continue
 		}
-		rec := &record{kept: kept}
+		rec := &record{kept: kept, taken: r.now}
 		for i := range kept.Trips {
 			t := &trip{rec: rec, no: i, sent: logic.Micros(kept.Trips[i].Sent), noted: true, over: true}
 			rec.trips = append(rec.trips, t)
@@ -613,13 +614,16 @@
 	}
 	r.books.over()
 	r.count(rec.kept.Workload, ends)
-	if rec.waiting != nil {
-		rec.waiting.text = protocol.ReplyError("ERR terminated")
-		if bounce {
-			rec.waiting.text = protocol.ReplyBusy(again)
+	if len(rec.waiting) > 0 {
+		for _, rep := range rec.waiting {
+			rep.text = protocol.ReplyError("ERR terminated")
+			if bounce {
+				rep.text = protocol.ReplyBusy(again)
+			}
 		}
 		r.check(r.spool.Forget(rec.kept.ID))
 	} else {
+		r.clients.over.add(rec, r.now)
 		r.check(r.spool.End(rec.kept.ID, how, again))
 		r.platform.tell(rec.kept)
 	}
