A process ends only when every client has its answer, or has had its chance

Found by reading, forced over loopback: what was read between the last look and the end had no answer (line: done returned true 50 ms after the last connection, whatever lay in the sockets), and connections whose first request was on its way were closed. Now newcomers are left alone, and after those 50 ms each connection is closed, for good, as soon as it has no reply due and nothing unread; whatever stands after 100 ms more is closed with the process, so that half a command or a flood holds nobody up. Seen to fail with the last look, the newcomers or the bound left out.

--- a/routing/clients.go
+++ b/routing/clients.go
@@ -26,6 +26,7 @@
 	asked  atomic.Int64 // commands without a reply
 	whole  atomic.Bool  // a command has come
 	half   atomic.Int64 // when the command that is not whole began; 0 between two
+	shut   bool         // for good
 }
 
 const maxUnread = 64 << 10 // thousands of replies
@@ -260,11 +261,19 @@
 	}
 }
 
-// part closes what rests between two requests, so that clients with somewhere else to go do.
-func (cs *clients) part() {
+// shut closes, for good, all that have no reply due, and tells whether none is left. Half a command is answered by nobody: its client
+// hands it in elsewhere.
+func (cs *clients) shut() bool {
+	left := len(cs.r.inbox)
 	for c := range cs.all {
-		c.conn.CloseIf(c.rests)
+		if !c.shut {
+			c.shut = c.conn.CloseIf(func() bool { return c.asked.Load() == 0 && c.conn.Flushed() })
+		}
+		if !c.shut {
+			left++
+		}
 	}
+	return left == 0
 }
 
 // resting tells whether no command is on its way in, as far as is known here.
@@ -277,7 +286,7 @@
 	return true
 }
 
-// sendAway closes what rests, but for connections whose first request is on its way.
+// sendAway closes what rests, so that clients with somewhere else to go do; but for connections whose first request is on its way.
 func (cs *clients) sendAway() {
 	for c := range cs.all {
 		if c.whole.Load() || cs.r.now-c.came > newcomer {
--- a/routing/crossings_test.go
+++ b/routing/crossings_test.go
@@ -491,3 +491,105 @@
 		t.Errorf("%d ids are left", len(o.until))
 	}
 }
+
+// leave steps a router to its end, or until cross says that it has seen enough, and tells whether it ended.
+func leave(t *testing.T, r *Router, cross func() bool) bool {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); time.Sleep(100 * time.Microsecond) {
+		r.gather()
+		r.turn()
+		if r.done() {
+			return true
+		}
+		if cross() {
+			return false
+		}
+	}
+	t.Fatal("it never ends")
+	return false
+}
+
+func neverMind() bool { return false }
+
+// tell has a router end now.
+func tell(r *Router) { r.now, r.endBy = r.clock(), r.clock() }
+
+// TestARequestThatCrossesTheEnd. Failure: what lay in a socket at the last look was reset as the process ended; the client had no answer.
+func TestARequestThatCrossesTheEnd(t *testing.T) {
+	r := byHand(t, open(t, 0))
+	v := visit(t, r)
+	goOn := stop(t, r)
+	tell(r)
+	io.WriteString(v, enqueue("one"))
+	if !port.Arrived(v) {
+		t.Fatal("it never arrived")
+	}
+	looked := false
+	if leave(t, r, func() bool { // up to the first look after the last connection may have come in
+		looked = r.leaving && r.endBy == r.now+shutEvery
+		return looked
+	}) {
+		t.Fatal("it ended over an unread request")
+	}
+	goOn()
+	if !leave(t, r, neverMind) {
+		t.Fatal("it never ended")
+	}
+	if got := v.reply(); got != "+OK" {
+		t.Errorf("told %q", got)
+	}
+	if onDisk(t, r, "one") == nil {
+		t.Error("promised, and not kept")
+	}
+}
+
+// TestAFirstRequestThatCrossesTheEnd. Failure: a connection that had come just before the end was closed while its first request was on
+// its way.
+func TestAFirstRequestThatCrossesTheEnd(t *testing.T) {
+	r := byHand(t, open(t, 0))
+	v := visit(t, r)
+	tell(r)
+	if leave(t, r, func() bool { return r.leaving }) {
+		t.Fatal("it ended at once")
+	}
+	io.WriteString(v, enqueue("one"))
+	if !leave(t, r, neverMind) {
+		t.Fatal("it never ended")
+	}
+	if got := v.reply(); got != "+OK" {
+		t.Errorf("told %q", got)
+	}
+}
+
+// TestNobodyHoldsUpTheEnd: a client with half a command, one that reads nothing and one that asks on and on do not keep a process that
+// ends; whoever rests is closed without a reset.
+func TestNobodyHoldsUpTheEnd(t *testing.T) {
+	r := byHand(t, open(t, 0))
+	half, rests, floods := visit(t, r), visit(t, r), visit(t, r)
+	io.WriteString(half, enqueue("half")[:40])
+	if !port.Arrived(half) {
+		t.Fatal("it never arrived")
+	}
+	flooding := make(chan struct{})
+	go func() {
+		defer close(flooding)
+		for {
+			if _, err := io.WriteString(floods, "*1\r\n$4\r\nPING\r\n"); err != nil {
+				return
+			}
+		}
+	}()
+	began := r.clock()
+	tell(r)
+	if !leave(t, r, neverMind) {
+		t.Fatal("it never ended")
+	}
+	if took := r.clock() - began; took > 20*(lastWords+lastChance) {
+		t.Errorf("it took %d us", took)
+	}
+	if got := rests.reply(); got != io.EOF.Error() {
+		t.Errorf("the one at rest: %s", got)
+	}
+	floods.Close()
+	<-flooding
+}
--- a/routing/router.go
+++ b/routing/router.go
@@ -107,6 +107,7 @@
 	lentTo   logic.Micros // until then an earlier start may have lent half of each part
 	endBy    logic.Micros
 	leaving  bool
+	lastBy   logic.Micros // while leaving: until then at the latest
 	partAt   logic.Micros // from here on clients' connections are closed between requests
 }
 
@@ -225,24 +226,32 @@
 // has a courier of its own, is served to the end.
 const parting = 500 * 1000
 
-// lastWords is how long requests that crossed the end are still answered, after the last connection came in.
-const lastWords = 50 * 1000
+// lastWords is how long, after the last connection came in, all who are connected are still served; then each is closed as soon as it
+// has no reply due, and after lastChance whatever stands.
+const (
+	lastWords  = 50 * 1000
+	lastChance = 100 * 1000
+	shutEvery  = 2 * 1000
+)
 
+// done tells whether the process may end. Nothing is read any more by then, or it would have had an answer. Failures: what was read
+// between the last look and the end had none; connections whose first request was on its way were closed.
 func (r *Router) done() bool {
-	if r.kin.handed && r.endBy < never && len(r.flying) == 0 {
-		return true
+	handed := r.kin.handed && r.endBy < never && len(r.flying) == 0
+	if !r.leaving && (r.now >= r.endBy || handed) {
+		r.leaving, r.endBy, r.lastBy, r.partAt = true, r.now+lastWords, r.now+lastWords+lastChance, never
+		r.driver.Deafen()
+		r.clients.sendAway()
 	}
 	if r.now >= r.partAt {
 		r.partAt = never
-		r.clients.part()
+		r.clients.sendAway()
 	}
-	if r.now < r.endBy || r.leaving {
-		return r.now >= r.endBy
+	if !r.leaving || r.now < r.endBy {
+		return false
 	}
-	r.leaving, r.endBy = true, r.now+lastWords
-	r.driver.Deafen()
-	r.clients.part()
-	return false
+	r.endBy = r.now + shutEvery
+	return r.clients.shut() || r.now >= r.lastBy
 }
 
 // late is more than a loaded machine delays a timer by, and less than an answer takes.
