A list that breaks off again and again is asked for ever more slowly

Found by reading, forced over loopback: a list that was cut off each time was asked for every 30 ms by each courier, and calls for lists are priced over the whole fleet. Now the pause doubles with each cut in a row, to a second; the first stays within a drain's grace, and what each cut list had begun to tell counts as before. Beside it a crossing that held: an answer of the old discovery that lies untaken as a reload moves it is not taken for the new one's. The first test fails without the mend.

--- a/routing/crossings_test.go
+++ b/routing/crossings_test.go
@@ -593,3 +593,74 @@
 	floods.Close()
 	<-flooding
 }
+
+// TestCutAgainAndAgain. Failure: a list that broke off each time was asked for thirty times a second by each courier.
+func TestCutAgainAndAgain(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	w := open(t, 0)
+	w.Discovery = l.Addr().String()
+	r := byHand(t, w)
+	p := &r.platform
+	ask := func(answer string) {
+		t.Helper()
+		r.now = max(r.clock(), p.askAt)
+		p.watch()
+		x := p.watching
+		for !x.sent {
+			r.take(<-r.inbox)
+		}
+		conn := called(t, l.(*net.TCPListener))
+		io.WriteString(conn, answer)
+		conn.Close()
+		for p.watching == x {
+			r.take(<-r.inbox)
+		}
+	}
+	const cut = "HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n{\"seq\":9,\"whole\":false,\"hosts\":["
+	last := logic.Micros(0)
+	for n := range 8 {
+		ask(cut)
+		pause := p.askAt - r.now
+		if pause < last || pause > askAgain || n == 0 && pause != cutAgain || n == 7 && pause != askAgain {
+			t.Errorf("cut off %d times, asked again after %d us", n+1, pause)
+		}
+		last = pause
+	}
+	list := `{"seq":10,"whole":false,"hosts":[]}`
+	ask(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s", len(list), list))
+	if p.cuts != 0 {
+		t.Errorf("after a whole list %d cuts still count", p.cuts)
+	}
+}
+
+// TestAListThatCrossesAMove: a reload moves discovery while the old one's answer lies at the router, untaken; it is not taken for the new
+// one's, and the new one is asked.
+func TestAListThatCrossesAMove(t *testing.T) {
+	w := open(t, 0)
+	r := byHand(t, w)
+	ofDiscovery := func(l *link) bool { return !toEndpoint(l) }
+	r.platform.seq = 0
+	r.platform.watch()
+	r.take(until(t, r, func(e linkUp) bool { return ofDiscovery(e.on) }))
+	answer := until(t, r, func(e linkAnswer) bool { return ofDiscovery(e.on) })
+	if _, err := w.Move(); err != nil {
+		t.Fatal(err)
+	}
+	next := *r.dep
+	next.Discovery = w.Discovery
+	r.take(&next)
+	watching := r.platform.watching
+	r.take(answer)
+	if r.platform.watching != watching || watching == nil || watching.peer.addr != w.Discovery || r.platform.seq != 0 {
+		t.Errorf("watching %+v, version %d", r.platform.watching, r.platform.seq)
+	}
+	r.take(until(t, r, func(e linkUp) bool { return ofDiscovery(e.on) }))
+	r.take(until(t, r, func(e linkAnswer) bool { return ofDiscovery(e.on) }))
+	if r.platform.seq == 0 {
+		t.Error("the new one was not heard")
+	}
+}
--- a/routing/platform.go
+++ b/routing/platform.go
@@ -14,7 +14,7 @@
 	watchWait  = 5 * 1000 * 1000 // how long discovery may hold a watch; a dead connection shows so much later
 	watchSlack = 1500 * 1000     // and its answer may take
 	listSlack  = 150 * 1000      // the rest of a list that has begun may take; a drain that it tells has a grace of less
-	cutAgain   = 30 * 1000       // after one that broke off
+	cutAgain   = 30 * 1000       // after one that broke off; twice as long after each further one, askAgain at most
 	askAgain   = 1000 * 1000     // where nobody else says when to ask again
 	nothingNew = 100 * 1000      // an answer that comes sooner and is no newer would have us ask in a circle
 
@@ -52,6 +52,7 @@
 	watchBy  logic.Micros
 	askAt    logic.Micros
 	askedAt  logic.Micros
+	cuts     int // lists in a row that broke off
 	owed     []*owed
 	calls    []*telling
 }
@@ -98,7 +99,9 @@
 			if list := protocol.ReadPart(part); list.Seq > p.seq {
 				p.r.news(list, logic.Partial)
 			}
-			p.askAt = p.r.now + cutAgain
+			// Failure: a list that broke off each time was asked for thirty times a second.
+			p.askAt = p.r.now + min(logic.Micros(cutAgain)<<min(p.cuts, 8), askAgain)
+			p.cuts++
 			return
 		}
 		p.r.events = append(p.r.events, logic.ListNews{How: logic.ListError})
@@ -107,6 +110,7 @@
 		}
 		return
 	}
+	p.cuts = 0
 	switch {
 	case list.Seq < p.seq:
 		p.r.log.Warn("an older list left out", "seq", list.Seq, "held", p.seq)
