A reload that crosses an upgrade is kept, and nobody reads a parser that is being fed

Found by reading, forced by tests: - Settings read anew (SIGHUP) by a process that had handed all to another were dropped; if that one died, this went on by the old ones. Line: the first of reload. Now the next router here begins with them. Fails without the mend. - As all was made ready for another process, clients.resting read each connection's parser from the router while the poller fed it. It now reads what the poller writes down of it (half).

--- a/routing/clients.go
+++ b/routing/clients.go
@@ -81,6 +81,7 @@
 func (c *client) release() {
 	c.router.clients.bytes.Add(-c.held)
 	c.held, c.parser = 0, protocol.Commands{}
+	c.half.Store(0)
 }
 
 func (c *client) Closed(*transport.Conn, error) {
@@ -94,9 +95,9 @@
 
 var errNoRoom = errors.New("ERR no room for so long a command now")
 
-// rests tells whether nothing of a request has been read that has no reply yet.
+// rests tells whether nothing of a request has been read that has no reply yet; half a command counts.
 func (c *client) rests() bool {
-	return c.asked.Load() == 0 && c.parser.Between() && c.conn.Flushed()
+	return c.asked.Load() == 0 && c.half.Load() == 0 && c.conn.Flushed()
 }
 
 func (c *client) write(r *reply) {
--- a/routing/crossings_test.go
+++ b/routing/crossings_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"pineport/config"
 	"pineport/lab/port"
 	"pineport/lab/scripted"
 	"pineport/logic"
@@ -665,3 +666,48 @@
 		t.Error("the new one was not heard")
 	}
 }
+
+// TestAReloadThatCrossesAnUpgrade. Failure: settings read anew while another process had taken over were gone once that died, and this one
+// went on by the old ones.
+func TestAReloadThatCrossesAnUpgrade(t *testing.T) {
+	r := byHand(t, open(t, 0))
+	r.kin.handed = true
+	var told *config.Deployment
+	r.Reloaded(func(dep *config.Deployment) { told = dep })
+	next := *r.dep
+	next.Discovery = "127.0.0.1:9"
+	r.take(&next)
+	if told == nil || told.Discovery != next.Discovery {
+		t.Errorf("the next router here begins with %+v", told)
+	}
+	if r.platform.watching != nil {
+		t.Error("it asks discovery, which the other process does")
+	}
+}
+
+// TestLookedAtWhileItReads. Failure: as all was made ready for another process, it was read from a parser which the poller was feeding.
+func TestLookedAtWhileItReads(t *testing.T) {
+	r := byHand(t, open(t, 0))
+	v := visit(t, r)
+	text := enqueue("one")
+	if !r.clients.resting() {
+		t.Error("not at rest before its request")
+	}
+	for at := range len(text) - 1 {
+		io.WriteString(v, text[at:at+1])
+		for deadline := time.Now().Add(5 * time.Second); r.clients.resting(); {
+			if time.Now().After(deadline) {
+				t.Fatalf("at rest with %d bytes of a command", at+1)
+			}
+		}
+	}
+	io.WriteString(v, text[len(text)-1:])
+	r.take(until(t, r, func(commands) bool { return true }))
+	if r.clients.resting() {
+		t.Error("at rest before its reply")
+	}
+	r.turn()
+	if got := v.reply(); got != "+OK" || !r.clients.resting() {
+		t.Errorf("told %q; at rest %v", got, r.clients.resting())
+	}
+}
--- a/routing/reload.go
+++ b/routing/reload.go
@@ -13,11 +13,15 @@
 // reload takes over what a configuration read anew changes, while records are held: all that is held, out or told to wait
 // stays as it is, and records keep what they were promised when they were taken. What must wait for a start is named.
 func (r *Router) reload(next *config.Deployment) {
-	if r.kin.handed {
-		return
-	}
 	waiting := r.dep.Waiting(next)
 	merged := r.dep.Merged(next)
+	if r.kin.handed { // another process decides, by what it has read itself; should it go, the next router here begins with this
+		r.dep = merged
+		if r.reloaded != nil {
+			r.reloaded(merged)
+		}
+		return
+	}
 	r.log.Info("configuration read anew", "discovery", merged.Discovery)
 	if len(waiting) > 0 {
 		r.log.Warn("changes that wait for the next start", "keys", waiting)
