Who comes just before clients are sent away is sent away too, once answered

Line: done, which looked once. It now looks again a quarter of a second later while there are any. The test fails without either half.

--- a/routing/clients.go
+++ b/routing/clients.go
@@ -287,13 +287,17 @@
 	return true
 }
 
-// sendAway closes what rests, so that clients with somewhere else to go do; but for connections whose first request is on its way.
-func (cs *clients) sendAway() {
+// sendAway closes what rests, so that clients with somewhere else to go do; but for connections whose first request is on its way. It tells
+// whether there are such.
+func (cs *clients) sendAway() (more bool) {
 	for c := range cs.all {
 		if c.whole.Load() || cs.r.now-c.came > newcomer {
 			c.conn.CloseIf(c.rests)
+		} else {
+			more = true
 		}
 	}
+	return more
 }
 
 func (cs *clients) commands(e commands) {
--- a/routing/crossings_test.go
+++ b/routing/crossings_test.go
@@ -563,6 +563,40 @@
 	}
 }
 
+// TestANewcomerIsSentAwayLater: half a second after it was told to end, a process sends clients away; who has just come is answered first, and
+// sent away too.
+func TestANewcomerIsSentAwayLater(t *testing.T) {
+	r := byHand(t, open(t, 0))
+	rests := visit(t, r)
+	for r.clock()-r.now <= newcomer {
+		time.Sleep(time.Millisecond)
+	}
+	r.now = r.clock()
+	v := visit(t, r)
+	r.now = r.clock()
+	r.partAt, r.endBy = r.now, r.now+hour
+	if r.done() {
+		t.Fatal("it ended")
+	}
+	if got := rests.reply(); got != io.EOF.Error() {
+		t.Errorf("the one at rest: %s", got)
+	}
+	r.take(v.asks(t, r, "one"))
+	r.turn()
+	if got := v.reply(); got != "+OK" {
+		t.Errorf("told %q", got)
+	}
+	for r.partAt < never {
+		if r.now = r.clock(); r.done() {
+			t.Fatal("it ended")
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if got := v.reply(); got != io.EOF.Error() {
+		t.Errorf("afterwards: %s", got)
+	}
+}
+
 // TestNobodyHoldsUpTheEnd: a client with half a command, one that reads nothing and one that asks on and on do not keep a process that
 // ends; whoever rests is closed without a reset.
 func TestNobodyHoldsUpTheEnd(t *testing.T) {
--- a/routing/router.go
+++ b/routing/router.go
@@ -244,8 +244,9 @@
 		r.clients.sendAway()
 	}
 	if r.now >= r.partAt {
-		r.partAt = never
-		r.clients.sendAway()
+		if r.partAt = never; r.clients.sendAway() {
+			r.partAt = r.now + newcomer
+		}
 	}
 	if !r.leaving || r.now < r.endBy {
 		return false
