The words kin, books and strange of the router give way to upgrade, counters and malformed

With them elder and heir, which are predecessor and successor now; files kin.go and books.go are upgrade.go and counters.go. No change of behaviour.

--- a/cmd/pineport/fleet.go
+++ b/cmd/pineport/fleet.go
@@ -37,7 +37,7 @@
 		if m == nil {
 			return nil
 		}
-		go m.Hand() // at once, as its heir wants the address
+		go m.Hand() // at once, as its successor wants the address
 		return &handover.Peers{Start: m.Start(), Members: m.Members()}
 	})
 	go func() {
--- a/cmd/pineport/peers_test.go
+++ b/cmd/pineport/peers_test.go
@@ -124,7 +124,7 @@
 		p.must(next)
 		p.leave(old)
 		p.ended.Wait()
-		waitFor(t, "the heir to be heard", 10*time.Second, func() bool {
+		waitFor(t, "the successor to be heard", 10*time.Second, func() bool {
 			udp, _ := footprint(t, next.cmd.Process.Pid)
 			s, _ := seen()
 			return udp == 1 && s == "alive"
--- a/cmd/pineport/run.go
+++ b/cmd/pineport/run.go
@@ -118,7 +118,7 @@
 		case <-ctx.Done():
 		}
 	}()
-	folder, given, elder, err := handover.Acquire(ctx, dep.Spool, dep.Name, log.With(logs.Component, "handover"))
+	folder, given, predecessor, err := handover.Acquire(ctx, dep.Spool, dep.Name, log.With(logs.Component, "handover"))
 	if ctx.Err() != nil {
 		return nil // told to end before there was anything to do
 	}
@@ -163,11 +163,11 @@
 			log.Warn("levels of the log stay as they are", "fault", err)
 		}
 	})
-	if elder != nil {
-		router.Elder(elder)
+	if predecessor != nil {
+		router.Predecessor(predecessor)
 	}
 	defer p.enter(ctx, router, given)()
-	router.Heirs(folder.Release)
+	router.Successors(folder.Release)
 	if err := folder.Serve(router.Knocked); err != nil {
 		log.Warn("no upgrade can take over while this process runs", "fault", err)
 	}
--- a/cmd/pineport/upgrade_test.go
+++ b/cmd/pineport/upgrade_test.go
@@ -406,8 +406,8 @@
 	p.ended.Wait()
 }
 
-// TestHeirsThatLeave: whoever says hello and leaves at once, or says nothing more, takes nothing along.
-func TestHeirsThatLeave(t *testing.T) {
+// TestSuccessorsThatLeave: whoever says hello and leaves at once, or says nothing more, takes nothing along.
+func TestSuccessorsThatLeave(t *testing.T) {
 	w := upgradeWorld(t)
 	p := newPlatform(t, w)
 	now := p.begin(p.binary)
@@ -429,7 +429,7 @@
 		p.must(now)
 	}
 	if left < 4 {
-		t.Errorf("only %d heirs", left)
+		t.Errorf("only %d successors", left)
 	}
 	p.leave(now)
 	p.ended.Wait()
--- a/handover/own_test.go
+++ b/handover/own_test.go
@@ -68,9 +68,9 @@
 	if s == nil || s.Seq != 7 || len(s.Lore.Routes) != 5000 || s.Out[0] != state.Out[0] || s.Gone[0] != "s-1" {
 		t.Fatalf("%+v", s)
 	}
-	elder := <-links
+	predecessor := <-links
 	for i := range 100 {
-		elder.Send(Message{Settled: &logic.Settled{Record: logic.RecordID(fmt.Sprint(i)), Outcome: logic.Full, Wait: 9}})
+		predecessor.Send(Message{Settled: &logic.Settled{Record: logic.RecordID(fmt.Sprint(i)), Outcome: logic.Full, Wait: 9}})
 	}
 	heard := make(chan *Message, 200)
 	go l.Listen(func(m *Message) { heard <- m })
@@ -79,7 +79,7 @@
 			t.Fatalf("%d: %+v", i, m)
 		}
 	}
-	elder.Close()
+	predecessor.Close()
 	if m := <-heard; m != nil {
 		t.Errorf("after the end: %+v", m)
 	}
--- a/routing/calls.go
+++ b/routing/calls.go
@@ -13,12 +13,12 @@
 
 // call is what goes to an endpoint at once: one trip, or several where the charter allows.
 type call struct {
-	endpoint logic.EndpointID
-	host     protocol.Host
-	trips    []*trip
-	exchange *exchange
-	limit    logic.Micros // until when it is waited for
-	elder    bool         // the other process of an upgrade has it out; one trip
+	endpoint    logic.EndpointID
+	host        protocol.Host
+	trips       []*trip
+	exchange    *exchange
+	limit       logic.Micros // until when it is waited for
+	predecessor bool         // the other process of an upgrade has it out; one trip
 }
 
 var outcomes = map[string]logic.Outcome{
@@ -90,7 +90,7 @@
 		still: func() bool {
 			return r.hosts[c.endpoint].Health == protocol.InService && !r.staff.out[string(c.endpoint)] && r.waits[r.route(c.host)] <= r.now
 		},
-		written: func() { r.books.dispatches += int64(len(c.trips)) },
+		written: func() { r.counters.dispatches += int64(len(c.trips)) },
 		end:     func(a protocol.Answer, err error) { r.answered(c, a, err) }}
 	r.links.start(c.exchange)
 }
@@ -196,7 +196,7 @@
 func (r *Router) told(h protocol.Host, until logic.Micros) {
 	maps.DeleteFunc(r.waits, func(_ string, until logic.Micros) bool { return until <= r.now })
 	r.waits[r.route(h)] = max(until, r.waits[r.route(h)])
-	r.kin.waits(h, until)
+	r.upgrade.waits(h, until)
 }
 
 // route is what a wait holds for: an endpoint where its kind's are apart, else the destination.
@@ -246,8 +246,8 @@
 
 // settle books the outcome of a trip and tells the decisions.
 func (r *Router) settle(t *trip, s logic.Settled) {
-	if r.kin.handed {
-		r.kin.echo(t, s)
+	if r.upgrade.handed {
+		r.upgrade.echo(t, s)
 		return
 	}
 	if t.over {
@@ -294,7 +294,7 @@
 	}
 	s := logic.Settled{Outcome: logic.TimedOut}
 	switch x := t.call.exchange; {
-	case t.call.elder: // the other process has said nothing of it for longer than it should wait
+	case t.call.predecessor: // the other process has said nothing of it for longer than it should wait
 	case !r.links.out(x):
 		s.Outcome = logic.Unreachable
 	case !x.whole && x.link.first.Load() == 200:
@@ -329,8 +329,8 @@
 			return
 		}
 	}
-	if c.elder {
-		r.kin.cancel(c.trips[0])
+	if c.predecessor {
+		r.upgrade.cancel(c.trips[0])
 		return
 	}
 	r.links.abort(c.exchange)
--- a/routing/clients.go
+++ b/routing/clients.go
@@ -308,7 +308,7 @@
 		cs.command(args, reply)
 	}
 	if e.err != nil {
-		cs.strange(e.err)
+		cs.malformed(e.err)
 		cs.r.replies = append(cs.r.replies, &reply{client: e.from, text: protocol.ReplyError(e.err.Error()), close: true})
 	}
 }
@@ -324,21 +324,21 @@
 	case protocol.IsCommand(args, "ENQUEUE"):
 		cs.enqueue(args, reply)
 	default:
-		cs.strange(errCommand)
+		cs.malformed(errCommand)
 		reply.text = protocol.ReplyError(errCommand.Error())
 	}
 }
 
 var errCommand = errors.New("ERR unknown command")
 
-func (cs *clients) strange(fault error) {
-	cs.r.strange.clients, cs.r.strange.client = cs.r.strange.clients+1, fault
+func (cs *clients) malformed(fault error) {
+	cs.r.malformed.clients, cs.r.malformed.client = cs.r.malformed.clients+1, fault
 }
 
 // enqueue puts a record into the spool and hands it to the decisions; the reply is written after those.
 func (cs *clients) enqueue(args [][]byte, rep *reply) {
 	r := cs.r
-	if r.kin.handed { // was on its way as the connection was to be closed: nothing of it is taken, and it may come again at once
+	if r.upgrade.handed { // was on its way as the connection was to be closed: nothing of it is taken, and it may come again at once
 		rep.text, rep.close = protocol.ReplyBusy(1), true
 		return
 	}
@@ -352,7 +352,7 @@
 		r.count(e.Workload, failed)
 	}
 	if err != nil {
-		cs.strange(err)
+		cs.malformed(err)
 		rep.text = protocol.ReplyError(err.Error())
 		return
 	}
@@ -378,6 +378,6 @@
 	rep.text = protocol.ReplyOK
 	rep.rec = &record{kept: kept, waiting: []*reply{rep}, taken: r.now}
 	r.records[logic.RecordID(e.ID)] = rep.rec
-	r.books.taken()
+	r.counters.taken()
 	r.events = append(r.events, r.taken(kept))
 }
--- a/routing/books.go
+++ b/routing/counters.go
@@ -17,35 +17,35 @@
 	endings
 )
 
-// books are the figures for the operators, each counted where it happens.
-type books struct {
+// counters are the figures for the operators, each counted where it happens.
+type counters struct {
 	ends       [][endings]int64 // by workload
 	dispatches int64
 	held       int64 // taken and not ended
 }
 
 // grow makes room for further workloads.
-func (b *books) grow(workloads int) {
-	b.ends = append(b.ends, make([][endings]int64, max(0, workloads-len(b.ends)))...)
+func (c *counters) grow(workloads int) {
+	c.ends = append(c.ends, make([][endings]int64, max(0, workloads-len(c.ends)))...)
 }
 
-func (b *books) taken() { b.held++ }
-func (b *books) over()  { b.held-- }
+func (c *counters) taken() { c.held++ }
+func (c *counters) over()  { c.held-- }
 
 // count takes down how a message of a workload ended; of an unknown one nobody asks.
 func (r *Router) count(workload string, how ending) {
 	if w := index(r.dep.Workloads, workload); w >= 0 {
-		r.books.ends[w][how]++
+		r.counters.ends[w][how]++
 	}
 }
 
-// figures is a copy of the books that belongs to nobody else.
+// figures is a copy of the counters that belongs to nobody else.
 func (r *Router) figures() *ops.Figures {
 	f := &ops.Figures{Success: map[string]int64{}, Overload: map[string]int64{}, Error: map[string]int64{},
-		Dispatches: r.books.dispatches, Concurrent: r.books.held, Targets: int64(len(r.hosts)),
+		Dispatches: r.counters.dispatches, Concurrent: r.counters.held, Targets: int64(len(r.hosts)),
 		ReloadSuccess: r.staff.reloads, ReloadFailure: r.staff.faulty.Load()}
 	for w, name := range r.dep.Workloads {
-		f.Success[name], f.Overload[name], f.Error[name] = r.books.ends[w][delivered], r.books.ends[w][turnedAway], r.books.ends[w][failed]
+		f.Success[name], f.Overload[name], f.Error[name] = r.counters.ends[w][delivered], r.counters.ends[w][turnedAway], r.counters.ends[w][failed]
 	}
 	if c, ok := r.courier.(interface {
 		Avoided(logic.Micros, logic.EndpointID) bool
--- a/routing/crossings_test.go
+++ b/routing/crossings_test.go
@@ -705,7 +705,7 @@
 // went on by the old ones.
 func TestAReloadThatCrossesAnUpgrade(t *testing.T) {
 	r := byHand(t, open(t, 0))
-	r.kin.handed = true
+	r.upgrade.handed = true
 	var told *config.Deployment
 	r.Reloaded(func(dep *config.Deployment) { told = dep })
 	next := *r.dep
--- a/routing/links.go
+++ b/routing/links.go
@@ -293,7 +293,7 @@
 func (ls *links) down(e linkDown) {
 	l, x := e.on, e.on.x
 	if errors.Is(e.err, protocol.ErrAnswer) || errors.Is(e.err, errUnasked) {
-		ls.r.strange.answers, ls.r.strange.answer = ls.r.strange.answers+1, fmt.Errorf("%s %s: %w", l.peer.host, l.peer.addr, e.err)
+		ls.r.malformed.answers, ls.r.malformed.answer = ls.r.malformed.answers+1, fmt.Errorf("%s %s: %w", l.peer.host, l.peer.addr, e.err)
 	}
 	if !ls.all[l] {
 		return
--- a/routing/reload.go
+++ b/routing/reload.go
@@ -15,7 +15,7 @@
 func (r *Router) reload(next *config.Deployment) {
 	waiting := r.dep.Waiting(next)
 	merged := r.dep.Merged(next)
-	if r.kin.handed { // another process decides, by what it has read itself; should it go, the next router here begins with this
+	if r.upgrade.handed { // another process decides, by what it has read itself; should it go, the next router here begins with this
 		r.dep = merged
 		if r.reloaded != nil {
 			r.reloaded(merged)
@@ -32,7 +32,7 @@
 	if old.Discovery != merged.Discovery {
 		r.platform.moved(old.Discovery)
 	}
-	r.books.grow(len(merged.Workloads))
+	r.counters.grow(len(merged.Workloads))
 	r.clients.limit()
 	r.links.limit()
 	if old.SpoolMB != merged.SpoolMB {
--- a/routing/router.go
+++ b/routing/router.go
@@ -77,38 +77,38 @@
 	inbox   chan any
 	door    chan any // operators and the other process of an upgrade, served before the inbox
 
-	base     time.Time // for the clock: Unix time at the start, and what has passed since
-	baseUnix logic.Micros
-	now      logic.Micros
-	wakeAt   logic.Micros
-	events   []logic.Event
-	replies  []*reply
-	records  map[logic.RecordID]*record
-	flying   []*trip // oldest first
-	hosts    map[logic.EndpointID]protocol.Host
-	dests    map[int]logic.Micros    // those that lists name, and until when
-	waits    map[string]logic.Micros // told by a route, until when; the decisions keep their own
-	links    links
-	clients  clients
-	platform platform
-	strange  strange
-	lore     lore
-	watch    watch
-	books    books
-	staff    staff
-	kin      kin
-	reloaded func(*config.Deployment) // told of each configuration taken over
-	parted   func() *handover.Peers   // gives up this process's place in the fleet
-	couriers atomic.Int64             // that the fleet counts, 0 where nobody does
-	reckoned int64
-	counted  int // couriers, as the decisions were told
-	needs    atomic.Pointer[[]logic.Need]
-	needsAt  logic.Micros
-	lentTo   logic.Micros // until then an earlier start may have lent half of each part
-	endBy    logic.Micros
-	leaving  bool
-	lastBy   logic.Micros // while leaving: until then at the latest
-	partAt   logic.Micros // from here on clients' connections are closed between requests
+	base      time.Time // for the clock: Unix time at the start, and what has passed since
+	baseUnix  logic.Micros
+	now       logic.Micros
+	wakeAt    logic.Micros
+	events    []logic.Event
+	replies   []*reply
+	records   map[logic.RecordID]*record
+	flying    []*trip // oldest first
+	hosts     map[logic.EndpointID]protocol.Host
+	dests     map[int]logic.Micros    // those that lists name, and until when
+	waits     map[string]logic.Micros // told by a route, until when; the decisions keep their own
+	links     links
+	clients   clients
+	platform  platform
+	malformed malformed
+	lore      lore
+	watch     watch
+	counters  counters
+	staff     staff
+	upgrade   upgrade
+	reloaded  func(*config.Deployment) // told of each configuration taken over
+	parted    func() *handover.Peers   // gives up this process's place in the fleet
+	couriers  atomic.Int64             // that the fleet counts, 0 where nobody does
+	reckoned  int64
+	counted   int // couriers, as the decisions were told
+	needs     atomic.Pointer[[]logic.Need]
+	needsAt   logic.Micros
+	lentTo    logic.Micros // until then an earlier start may have lent half of each part
+	endBy     logic.Micros
+	leaving   bool
+	lastBy    logic.Micros // while leaving: until then at the latest
+	partAt    logic.Micros // from here on clients' connections are closed between requests
 }
 
 // New makes a router over an open spool; unfinished is what the spool still held. given is what the process before this one
@@ -131,20 +131,20 @@
 	r.links.init(r)
 	r.clients.init(r)
 	r.platform.init(r)
-	r.books.grow(len(dep.Workloads))
+	r.counters.grow(len(dep.Workloads))
 	r.staff.init(r)
 	list, err := protocol.ReadList(dep.Known)
 	if err != nil {
 		log.Warn("known list not used", "key", "known", "fault", err)
 	}
-	r.kin.init(r)
+	r.upgrade.init(r)
 	if given != nil && given.Seq >= list.Seq {
 		list = protocol.List{Seq: given.Seq, Whole: true, Hosts: given.Hosts}
 	}
 	r.platform.seq = list.Seq
 	r.news(list, logic.Persisted)
 	if given != nil {
-		r.kin.inherit(given)
+		r.upgrade.inherit(given)
 	}
 	r.staff.remind()
 	r.recover(unfinished, given)
@@ -162,7 +162,7 @@
 	r.platform.start()
 	r.turn()
 	r.staff.open.Store(!r.staff.away())
-	r.kin.serving()
+	r.upgrade.serving()
 	r.log.Info("serving", "name", r.dep.Name, "listen", r.dep.Listen)
 	timer := time.NewTimer(0)
 	for {
@@ -177,7 +177,7 @@
 		case what = <-r.door:
 		case <-stop:
 			stop = nil
-			r.kin.giver.Ending()
+			r.upgrade.giver.Ending()
 			r.endBy = r.clock() + logic.Micros(grace.Microseconds())
 			r.partAt = r.clock() + parting
 			r.staff.open.Store(false)
@@ -188,13 +188,13 @@
 		r.standstill(due)
 		r.gather()
 		r.guarded()
-		r.kin.give()
-		if r.kin.regain {
+		r.upgrade.give()
+		if r.upgrade.regain {
 			r.driver.Close()
 			return ErrRegain
 		}
 		if r.done() {
-			if !r.kin.giver.Keeps() {
+			if !r.upgrade.giver.Keeps() {
 				r.log.Info("ended, handed over", "out", len(r.flying))
 				return nil
 			}
@@ -237,7 +237,7 @@
 // done tells whether the process may end. Nothing is read any more by then, or it would have had an answer. Failures: what was read
 // between the last look and the end had none; connections whose first request was on its way were closed.
 func (r *Router) done() bool {
-	handed := r.kin.handed && r.endBy < never && len(r.flying) == 0
+	handed := r.upgrade.handed && r.endBy < never && len(r.flying) == 0
 	if !r.leaving && (r.now >= r.endBy || handed) {
 		r.leaving, r.endBy, r.lastBy, r.partAt = true, r.now+lastWords, r.now+lastWords+lastChance, never
 		r.driver.Deafen()
@@ -309,9 +309,9 @@
 	case request:
 		r.staff.asked(e)
 	case knock:
-		r.kin.knocked(e)
+		r.upgrade.knocked(e)
 	case said:
-		r.kin.said(e)
+		r.upgrade.said(e)
 	case sharing:
 		r.settled(e)
 	case linkUp:
@@ -352,8 +352,8 @@
 	r.links.flushed()
 	r.clients.sweep()
 	r.staff.tick()
-	r.strange.tell(r.log, r.now)
-	if !r.kin.handed {
+	r.malformed.tell(r.log, r.now)
+	if !r.upgrade.handed {
 		r.platform.tick()
 	}
 	for _, t := range append([]*trip(nil), r.flying...) {
@@ -361,7 +361,7 @@
 			r.overdue(t)
 		}
 	}
-	if r.kin.handed { // another process decides
+	if r.upgrade.handed { // another process decides
 		r.reply()
 		r.staff.publish()
 		return
@@ -383,27 +383,27 @@
 	r.staff.publish()
 }
 
-// strange is what came in that could not be used, since it was last logged: one line for all of it, as it may come at
+// malformed is what came in that could not be used, since it was last logged: one line for all of it, as it may come at
 // full speed.
-type strange struct {
+type malformed struct {
 	clients, answers int
 	client, answer   error // the last
 	next             logic.Micros
 }
 
-const tellStrange = 10 * 1000 * 1000
+const tellMalformed = 10 * 1000 * 1000
 
-func (s *strange) tell(log *slog.Logger, now logic.Micros) {
-	if now < s.next || s.clients+s.answers == 0 {
+func (m *malformed) tell(log *slog.Logger, now logic.Micros) {
+	if now < m.next || m.clients+m.answers == 0 {
 		return
 	}
-	if s.clients > 0 {
-		log.Warn("clients turned away", "count", s.clients, "last", s.client)
+	if m.clients > 0 {
+		log.Warn("clients turned away", "count", m.clients, "last", m.client)
 	}
-	if s.answers > 0 {
-		log.Warn("answers spoilt", "count", s.answers, "last", s.answer)
+	if m.answers > 0 {
+		log.Warn("answers spoilt", "count", m.answers, "last", m.answer)
 	}
-	*s = strange{next: now + tellStrange}
+	*m = malformed{next: now + tellMalformed}
 }
 
 // reply writes what clients wait for; from then on the platform is told how a record ends.
@@ -468,7 +468,7 @@
 // renew hands all that is held to decisions that know nothing yet, and nothing of what the failed ones had learned. Where they fail again over that, it is ended,
 // so that one record cannot stop all others for ever.
 func (r *Router) renew() {
-	if r.kin.handed {
+	if r.upgrade.handed {
 		return
 	}
 	for _, t := range append([]*trip(nil), r.flying...) {
@@ -563,11 +563,11 @@
 			t := &trip{rec: rec, no: i, sent: logic.Micros(kept.Trips[i].Sent), noted: true, over: true}
 			rec.trips = append(rec.trips, t)
 			if limit, ok := out[handover.Out{Record: kept.ID, Trip: i}]; ok {
-				r.kin.adopt(t, limit)
+				r.upgrade.adopt(t, limit)
 			}
 		}
 		r.records[logic.RecordID(kept.ID)] = rec
-		r.books.taken()
+		r.counters.taken()
 		r.events = append(r.events, r.recall(rec))
 	}
 	if len(unfinished) > 0 {
@@ -622,7 +622,7 @@
 	if bounce {
 		how, again, ends = bounced, int64((pause+999)/1000), turnedAway
 	}
-	r.books.over()
+	r.counters.over()
 	r.count(rec.kept.Workload, ends)
 	if len(rec.waiting) > 0 {
 		for _, rep := range rec.waiting {
@@ -644,7 +644,7 @@
 func (r *Router) finish(rec *record) {
 	if !rec.ended {
 		rec.ended = true
-		r.books.over()
+		r.counters.over()
 		r.check(r.spool.Forget(rec.kept.ID))
 	}
 }
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -601,14 +601,14 @@
 	}
 }
 
-// TestHeirLostWhileGiving. Failure: an heir that left while all was made ready for it was given it, and nobody decided any more.
-func TestHeirLostWhileGiving(t *testing.T) {
+// TestSuccessorLostWhileGiving. Failure: a successor that left while all was made ready for it was given it, and nobody decided any more.
+func TestSuccessorLostWhileGiving(t *testing.T) {
 	r := prepare(t, open(t, 0))
-	if do, why := r.kin.giver.Knocked(&handover.Hello{Version: handover.Version, Courier: "n0"}); do != handover.Give {
+	if do, why := r.upgrade.giver.Knocked(&handover.Hello{Version: handover.Version, Courier: "n0"}); do != handover.Give {
 		t.Fatal(why)
 	}
-	r.kin.giving = true
-	if r.kin.bereft(); !r.kin.regain {
+	r.upgrade.giving = true
+	if r.upgrade.bereft(); !r.upgrade.regain {
 		t.Error("all is given to one that has left")
 	}
 }
--- a/routing/share.go
+++ b/routing/share.go
@@ -49,7 +49,7 @@
 
 // settled takes in what couriers have settled.
 func (r *Router) settled(s sharing) {
-	if r.kin.handed {
+	if r.upgrade.handed {
 		return // another process decides, and has been told nothing
 	}
 	at := func(t logic.Micros) logic.Micros {
--- a/routing/staff.go
+++ b/routing/staff.go
@@ -113,8 +113,8 @@
 
 // asked does what operators want; they are told after the turn.
 func (s *staff) asked(q request) {
-	if s.r.kin.handed {
-		s.r.kin.ask(q)
+	if s.r.upgrade.handed {
+		s.r.upgrade.ask(q)
 		return
 	}
 	a := answer{}
--- a/routing/kin.go
+++ b/routing/upgrade.go
@@ -31,36 +31,36 @@
 	}
 )
 
-// kin is the other process of an upgrade: first an elder one that handed all to this one, later an heir.
-type kin struct {
-	r         *Router
-	giver     *handover.Giver
-	release   func() // frees the folder
-	heir      *handover.Link
-	wanted    bool // the heir is ready, and nothing is handed over yet
-	giving    bool // between the two
-	handed    bool // the heir decides
-	regain    bool
-	elder     *handover.Link
-	strangers []*trip    // of the elder, to endpoints that are not listed any more
-	keptLore  logic.Lore // as it was handed over, and the waits told since
-	asks      map[int64]chan answer
-	asked     int64
+// upgrade is the other process of an upgrade: first a predecessor that handed all to this one, later a successor.
+type upgrade struct {
+	r           *Router
+	giver       *handover.Giver
+	release     func() // frees the folder
+	successor   *handover.Link
+	wanted      bool // the successor is ready, and nothing is handed over yet
+	giving      bool // between the two
+	handed      bool // the successor decides
+	regain      bool
+	predecessor *handover.Link
+	strangers   []*trip    // of the predecessor, to endpoints that are not listed any more
+	keptLore    logic.Lore // as it was handed over, and the waits told since
+	asks        map[int64]chan answer
+	asked       int64
 }
 
-func (k *kin) init(r *Router) {
-	k.r, k.giver, k.asks, k.release = r, handover.NewGiver(r.dep.Name), map[int64]chan answer{}, func() {}
+func (u *upgrade) init(r *Router) {
+	u.r, u.giver, u.asks, u.release = r, handover.NewGiver(r.dep.Name), map[int64]chan answer{}, func() {}
 }
 
-// Heirs lets new processes take over: release frees the folder at that instant.
-func (r *Router) Heirs(release func()) { r.kin.release = release }
+// Successors lets new processes take over: release frees the folder at that instant.
+func (r *Router) Successors(release func()) { r.upgrade.release = release }
 
 // Knocked is told of a new process that is ready to take over.
 func (r *Router) Knocked(link *handover.Link, hello *handover.Hello) { r.door <- knock{link, hello} }
 
-// Elder joins the router with the process that handed all over.
-func (r *Router) Elder(link *handover.Link) {
-	r.kin.elder = link
+// Predecessor joins the router with the process that handed all over.
+func (r *Router) Predecessor(link *handover.Link) {
+	r.upgrade.predecessor = link
 	go r.hear(link)
 }
 
@@ -68,36 +68,36 @@
 	link.Listen(func(m *handover.Message) { r.door <- said{link, m} })
 }
 
-func (k *kin) knocked(e knock) {
-	do, why := k.giver.Knocked(e.hello)
+func (u *upgrade) knocked(e knock) {
+	do, why := u.giver.Knocked(e.hello)
 	if do == handover.Refuse {
-		k.r.log.Warn("a new process is refused", "why", why)
+		u.r.log.Warn("a new process is refused", "why", why)
 		e.link.Refuse(why)
 		return
 	}
-	k.heir, k.wanted = e.link, true
-	go k.r.hear(e.link)
+	u.successor, u.wanted = e.link, true
+	go u.r.hear(e.link)
 }
 
 const (
 	// So long, at most, connections in the midst of a command are waited for; a client waits for many times that.
 	settleWithin = 10 * 1000
 	settleStep   = time.Millisecond
-	// adoptSlack is how much longer than the elder its heir waits for an outcome: a line over a socket takes far less.
+	// adoptSlack is how much longer than the predecessor its successor waits for an outcome: a line over a socket takes far less.
 	adoptSlack = 250 * 1000
 )
 
-// give hands all to the heir, at one instant: what came before it is decided here, what comes later by the heir.
-func (k *kin) give() {
-	if !k.wanted {
+// give hands all to the successor, at one instant: what came before it is decided here, what comes later by the successor.
+func (u *upgrade) give() {
+	if !u.wanted {
 		return
 	}
-	k.wanted, k.giving = false, true
-	r := k.r
+	u.wanted, u.giving = false, true
+	r := u.r
 	began := r.clock()
 	r.staff.open.Store(false)
 	r.driver.Deafen()
-	for { // new connections wait for the heir now; those that rest close, and their clients come there
+	for { // new connections wait for the successor now; those that rest close, and their clients come there
 		r.gather()
 		r.guarded()
 		r.clients.sendAway()
@@ -106,9 +106,9 @@
 		}
 		time.Sleep(settleStep)
 	}
-	k.recallUnsent()
-	state := k.state()
-	k.handed, k.keptLore = true, state.Lore
+	u.recallUnsent()
+	state := u.state()
+	u.handed, u.keptLore = true, state.Lore
 	r.staff.keeper.Shut()
 	r.staff.partAt = r.now
 	if r.lore.keeper != nil {
@@ -118,29 +118,29 @@
 	r.platform.stop()
 	r.links.closeResting()
 	r.check(r.spool.Close())
-	k.release()
-	k.heir.Send(handover.Message{State: state})
-	k.giver.Given()
-	k.giving = false
-	r.books.held = 0
+	u.release()
+	u.successor.Send(handover.Message{State: state})
+	u.giver.Given()
+	u.giving = false
+	r.counters.held = 0
 	r.log.Info("handed over", "held", len(r.records), "out", len(r.flying), "clients", len(r.clients.all), "took", time.Duration(r.clock()-began)*time.Microsecond)
 	debug.FreeOSMemory() // both processes have one limit
 }
 
-// recallUnsent takes back what waits for a connection: until that is up the heir may have heard that nothing may go there.
-func (k *kin) recallUnsent() {
-	for _, t := range slices.Clone(k.r.flying) {
+// recallUnsent takes back what waits for a connection: until that is up the successor may have heard that nothing may go there.
+func (u *upgrade) recallUnsent() {
+	for _, t := range slices.Clone(u.r.flying) {
 		if x := t.call.exchange; x != nil && !x.sent {
-			k.land(t)
-			k.r.links.abort(x)
-			k.r.outcome(t, logic.Void)
+			u.land(t)
+			u.r.links.abort(x)
+			u.r.outcome(t, logic.Void)
 		}
 	}
 }
 
 // state is what the folder does not hold.
-func (k *kin) state() *handover.State {
-	r := k.r
+func (u *upgrade) state() *handover.State {
+	r := u.r
 	s := &handover.State{Lore: r.fresh(), Seq: r.platform.seq, Waits: maps.Clone(r.waits), Gone: slices.Sorted(maps.Keys(r.staff.out)),
 		Away: r.staff.away()}
 	if r.parted != nil {
@@ -155,9 +155,9 @@
 	return s
 }
 
-// inherit takes over what the elder handed on, beside the list.
-func (k *kin) inherit(s *handover.State) {
-	r := k.r
+// inherit takes over what the predecessor handed on, beside the list.
+func (u *upgrade) inherit(s *handover.State) {
+	r := u.r
 	s.Lore.At = min(s.Lore.At, r.now)
 	r.events = append(r.events, logic.Learned{Lore: s.Lore})
 	maps.Copy(r.waits, s.Waits)
@@ -176,106 +176,106 @@
 	}
 }
 
-// adopt takes over a trip that the elder has out; where its endpoint is not listed any more, it is given up.
-func (k *kin) adopt(t *trip, limit logic.Micros) {
+// adopt takes over a trip that the predecessor has out; where its endpoint is not listed any more, it is given up.
+func (u *upgrade) adopt(t *trip, limit logic.Micros) {
 	id := logic.EndpointID(t.rec.kept.Trips[t.no].Endpoint)
-	host, ok := k.r.hosts[id]
+	host, ok := u.r.hosts[id]
 	if !ok {
-		k.strangers = append(k.strangers, t)
+		u.strangers = append(u.strangers, t)
 		return
 	}
 	t.over, t.limit = false, limit+adoptSlack
-	t.call = &call{endpoint: id, host: host, trips: []*trip{t}, elder: true}
+	t.call = &call{endpoint: id, host: host, trips: []*trip{t}, predecessor: true}
 	t.rec.out++
-	k.r.flying = append(k.r.flying, t)
+	u.r.flying = append(u.r.flying, t)
 }
 
-// serving tells the elder that clients are taken here.
-func (k *kin) serving() {
-	if k.elder == nil {
+// serving tells the predecessor that clients are taken here.
+func (u *upgrade) serving() {
+	if u.predecessor == nil {
 		return
 	}
-	k.elder.Send(handover.Message{Serving: true})
-	for _, t := range k.strangers {
-		k.cancel(t)
+	u.predecessor.Send(handover.Message{Serving: true})
+	for _, t := range u.strangers {
+		u.cancel(t)
 	}
-	k.strangers = nil
+	u.strangers = nil
 }
 
-// cancel tells the elder that a trip is waited for no more.
-func (k *kin) cancel(t *trip) {
-	if k.elder != nil {
-		k.elder.Send(handover.Message{Cancel: &handover.Out{Record: t.rec.kept.ID, Trip: t.no}})
+// cancel tells the predecessor that a trip is waited for no more.
+func (u *upgrade) cancel(t *trip) {
+	if u.predecessor != nil {
+		u.predecessor.Send(handover.Message{Cancel: &handover.Out{Record: t.rec.kept.ID, Trip: t.no}})
 	}
 }
 
-// waits tells the elder of a wait, in case it has to go on.
-func (k *kin) waits(h protocol.Host, until logic.Micros) {
-	if k.elder == nil {
+// waits tells the predecessor of a wait, in case it has to go on.
+func (u *upgrade) waits(h protocol.Host, until logic.Micros) {
+	if u.predecessor == nil {
 		return
 	}
 	w := &handover.Wait{Dest: logic.DestID(h.Dest), Until: until}
-	if k.r.apart(h) {
+	if u.r.apart(h) {
 		w.Endpoint = logic.EndpointID(h.Host)
 	}
-	k.elder.Send(handover.Message{Wait: w})
+	u.predecessor.Send(handover.Message{Wait: w})
 }
 
-// echo tells the heir how a trip ended.
-func (k *kin) echo(t *trip, s logic.Settled) {
+// echo tells the successor how a trip ended.
+func (u *upgrade) echo(t *trip, s logic.Settled) {
 	if t.over {
 		return
 	}
-	k.land(t)
+	u.land(t)
 	s.Record, s.Trip = logic.RecordID(t.rec.kept.ID), logic.TripNo(t.no)
-	k.heir.Send(handover.Message{Settled: &s})
+	u.successor.Send(handover.Message{Settled: &s})
 }
 
-func (k *kin) land(t *trip) {
+func (u *upgrade) land(t *trip) {
 	t.over = true
-	k.r.flying = slices.DeleteFunc(k.r.flying, func(o *trip) bool { return o == t })
+	u.r.flying = slices.DeleteFunc(u.r.flying, func(o *trip) bool { return o == t })
 }
 
-// ask hands what operators want to the heir, which decides.
-func (k *kin) ask(q request) {
-	if len(k.asks) >= doorSize {
+// ask hands what operators want to the successor, which decides.
+func (u *upgrade) ask(q request) {
+	if len(u.asks) >= doorSize {
 		q.done <- answer{err: errBusy}
 		return
 	}
-	a := &handover.Ask{Number: k.asked}
+	a := &handover.Ask{Number: u.asked}
 	switch w := q.what.(type) {
 	case ops.Maintain:
 		a.Endpoint, a.Yes = w.Endpoint, w.Out
 	case ops.Away:
 		a.Yes = w.Away
 	}
-	k.asks[k.asked] = q.done
-	k.asked++
-	k.heir.Send(handover.Message{Ask: a})
+	u.asks[u.asked] = q.done
+	u.asked++
+	u.successor.Send(handover.Message{Ask: a})
 }
 
 var errBusy = errors.New("too many calls wait for the process that took over")
 
 // said takes what the other process says.
-func (k *kin) said(e said) {
+func (u *upgrade) said(e said) {
 	switch {
-	case e.link == k.elder && e.m == nil:
-		k.orphaned()
-	case e.link == k.elder:
-		k.fromElder(e.m)
-	case e.link != k.heir:
+	case e.link == u.predecessor && e.m == nil:
+		u.orphaned()
+	case e.link == u.predecessor:
+		u.fromPredecessor(e.m)
+	case e.link != u.successor:
 	case e.m == nil:
-		k.bereft()
-	case k.giver.Said(e.m) == handover.Drop:
-		k.r.log.Error("the process that takes over said what makes no sense")
+		u.bereft()
+	case u.giver.Said(e.m) == handover.Drop:
+		u.r.log.Error("the process that takes over said what makes no sense")
 		e.link.Close()
 	default:
-		k.fromHeir(e.m)
+		u.fromSuccessor(e.m)
 	}
 }
 
-func (k *kin) fromElder(m *handover.Message) {
-	r := k.r
+func (u *upgrade) fromPredecessor(m *handover.Message) {
+	r := u.r
 	switch {
 	case m.Settled != nil:
 		rec := r.records[m.Settled.Record]
@@ -283,7 +283,7 @@
 			return
 		}
 		t := rec.trips[m.Settled.Trip]
-		if t.call == nil || !t.call.elder {
+		if t.call == nil || !t.call.predecessor {
 			return
 		}
 		s := *m.Settled
@@ -292,7 +292,7 @@
 		}
 		r.settle(t, logic.Settled{Outcome: s.Outcome, Over: s.Over, Wait: s.Wait, Pressure: s.Pressure})
 	case m.Ask != nil:
-		q, link := request{ops.Away{Away: m.Ask.Yes}, make(chan answer, 1)}, k.elder
+		q, link := request{ops.Away{Away: m.Ask.Yes}, make(chan answer, 1)}, u.predecessor
 		if m.Ask.Endpoint != "" {
 			q.what = ops.Maintain{Endpoint: m.Ask.Endpoint, Out: m.Ask.Yes}
 		}
@@ -307,39 +307,39 @@
 	}
 }
 
-// orphaned: nobody will tell any more how the elder's trips ended; they may have run.
-func (k *kin) orphaned() {
-	k.elder = nil
+// orphaned: nobody will tell any more how the predecessor's trips ended; they may have run.
+func (u *upgrade) orphaned() {
+	u.predecessor = nil
 	lost := 0
-	for _, t := range slices.Clone(k.r.flying) {
-		if t.call.elder {
+	for _, t := range slices.Clone(u.r.flying) {
+		if t.call.predecessor {
 			lost++
-			k.r.settle(t, logic.Settled{Outcome: logic.Broken})
+			u.r.settle(t, logic.Settled{Outcome: logic.Broken})
 		}
 	}
-	k.r.log.Info("the process before this one has ended", "unheard", lost)
+	u.r.log.Info("the process before this one has ended", "unheard", lost)
 }
 
-func (k *kin) fromHeir(m *handover.Message) {
-	r := k.r
+func (u *upgrade) fromSuccessor(m *handover.Message) {
+	r := u.r
 	switch {
 	case m.Serving:
 		r.log.Info("another process serves", "out", len(r.flying))
 	case m.Cancel != nil:
 		for _, t := range slices.Clone(r.flying) {
 			if t.rec.kept.ID == m.Cancel.Record && t.no == m.Cancel.Trip {
-				k.land(t)
+				u.land(t)
 				r.drop(t.call)
 			}
 		}
 	case m.Wait != nil:
-		k.keepWait(*m.Wait)
+		u.keepWait(*m.Wait)
 	case m.Answer != nil:
-		done, ok := k.asks[m.Answer.Number]
+		done, ok := u.asks[m.Answer.Number]
 		if !ok {
 			return
 		}
-		delete(k.asks, m.Answer.Number)
+		delete(u.asks, m.Answer.Number)
 		a := answer{}
 		if m.Answer.Unknown {
 			a.err = ops.ErrUnknown
@@ -350,8 +350,8 @@
 	}
 }
 
-func (k *kin) keepWait(w handover.Wait) {
-	Waiting(&k.keptLore, &logic.Lore{Routes: []logic.RouteLore{{Dest: w.Dest, Endpoint: w.Endpoint, WaitTo: w.Until}}})
+func (u *upgrade) keepWait(w handover.Wait) {
+	Waiting(&u.keptLore, &logic.Lore{Routes: []logic.RouteLore{{Dest: w.Dest, Endpoint: w.Endpoint, WaitTo: w.Until}}})
 }
 
 // Waiting adds to what is known the waits of another: of each route the later one holds.
@@ -367,27 +367,27 @@
 	return l
 }
 
-// bereft: the heir has gone.
-func (k *kin) bereft() {
-	for _, done := range k.asks {
+// bereft: the successor has gone.
+func (u *upgrade) bereft() {
+	for _, done := range u.asks {
 		done <- answer{err: fmt.Errorf("asked in an upgrade: %w", ErrRegain)}
 	}
-	clear(k.asks)
-	k.wanted = false
-	// Failure: an heir that left while all was made ready for it was given it even so, and nobody decided any more.
-	if k.giver.Lost() == handover.Regain || k.giving {
-		k.r.log.Error("the process that took over has gone: this one goes on", "out", len(k.r.flying))
-		k.regain = true
+	clear(u.asks)
+	u.wanted = false
+	// Failure: a successor that left while all was made ready for it was given it even so, and nobody decided any more.
+	if u.giver.Lost() == handover.Regain || u.giving {
+		u.r.log.Error("the process that took over has gone: this one goes on", "out", len(u.r.flying))
+		u.regain = true
 	}
 }
 
 // After goes on counting where another router of this process left off.
 func (r *Router) After(before *Router) {
-	r.books.ends, r.books.dispatches = before.books.ends, before.books.dispatches
-	r.books.grow(len(r.dep.Workloads))
+	r.counters.ends, r.counters.dispatches = before.counters.ends, before.counters.dispatches
+	r.counters.grow(len(r.dep.Workloads))
 	r.staff.reloads = before.staff.reloads
 	r.staff.faulty.Store(before.staff.faulty.Load())
 }
 
-// Kept is what this process knew as it handed all over, for a router that goes on after its heir has gone.
-func (r *Router) Kept() *logic.Lore { return &r.kin.keptLore }
+// Kept is what this process knew as it handed all over, for a router that goes on after its successor has gone.
+func (r *Router) Kept() *logic.Lore { return &r.upgrade.keptLore }
