An answer that lies unread in the socket as its time ends is read first

Found by reading, forced over loopback with the poller stopped: a delivery counts once its first line is written to the courier, and what the poller had not read as the time ran out, or as the trip was called off, passed for no answer. Lines: overdue and cancel in calls.go. Now the socket is looked into; something unread gains the trip 5 ms, once (no peer gains more by sending on and on). Ruled out: a wait without that bound, which an endless answer would use. Both tests seen to fail with the look, or its bound, taken out.

--- a/routing/calls.go
+++ b/routing/calls.go
@@ -289,7 +289,7 @@
 // overdue ends a trip that was waited for long enough, unless its answer is here and only not taken in yet. Failure: a delivered record
 // passed for one without an answer.
 func (r *Router) overdue(t *trip) {
-	if r.links.heard(t.call.exchange) {
+	if r.arrives(t) {
 		return
 	}
 	s := logic.Settled{Outcome: logic.TimedOut}
@@ -306,14 +306,32 @@
 	r.drop(t.call)
 }
 
+// lastLook is how long a trip that is to be given up is waited for where something that came over its connection lies unread. The poller
+// reads that at once unless the machine is busy; a peer that sends on and on gains no more than this.
+const lastLook = 5 * 1000
+
+// arrives tells whether the answer to a trip is here, or may be: whole but not taken in yet, or unread in the socket. For the latter it
+// gives the trip a moment, once.
+func (r *Router) arrives(t *trip) bool {
+	x := t.call.exchange
+	if r.links.heard(x) {
+		return true
+	}
+	if t.looked || !r.links.stirs(x) {
+		return false
+	}
+	t.looked, t.limit = true, r.now+lastLook
+	return true
+}
+
 func (r *Router) cancel(a logic.Cancel) {
 	rec := r.records[a.Record]
 	if rec == nil || int(a.Trip) >= len(rec.trips) || rec.trips[a.Trip].over {
 		return
 	}
 	t, o := rec.trips[a.Trip], logic.Withdrawn
-	if r.links.heard(t.call.exchange) {
-		return // its answer is here: that says more
+	if r.arrives(t) {
+		return // its answer says more
 	}
 	if x := t.call.exchange; x != nil && !x.sent {
 		o = logic.Void // its connection is still coming up: it never ran
--- a/routing/crossings_test.go
+++ b/routing/crossings_test.go
@@ -321,6 +321,82 @@
 	}
 }
 
+// TestAnAnswerUnreadAtItsTime. Failure: an answer that lay in the socket as the time for it ran out passed for none. Where it is none, or
+// not whole, the trip ends a moment later, whatever comes on and on.
+func TestAnAnswerUnreadAtItsTime(t *testing.T) {
+	for name, c := range map[string]struct {
+		bytes string
+		want  logic.Outcome
+	}{
+		"whole": {okAnswer, logic.Done}, "its first line": {okAnswer[:17], logic.Done}, "half a line": {"HTTP/1.1 2", logic.Failure},
+		"nothing": {"", logic.TimedOut},
+	} {
+		for how, cross := range map[string]func(r *Router, tr *trip){
+			"overdue":    func(r *Router, tr *trip) { r.overdue(tr) },
+			"called off": func(r *Router, tr *trip) { r.cancel(logic.Cancel{Record: "one"}) },
+		} {
+			t.Run(name+" "+how, func(t *testing.T) {
+				w := open(t, 0)
+				l := raw(t, w)
+				r := byHand(t, w, single("one"))
+				conn := sent(t, r, l)
+				goOn := stop(t, r)
+				io.WriteString(conn, c.bytes)
+				if !port.Arrived(conn) {
+					t.Fatal("it never arrived")
+				}
+				r.events, r.now = nil, r.clock()
+				tr := r.records["one"].trips[0]
+				if cross(r, tr); tr.over != (c.bytes == "") {
+					t.Fatalf("over %v at its time", tr.over)
+				}
+				goOn()
+				want := c.want
+				if c.bytes == "" && how == "called off" {
+					want = logic.Withdrawn
+				}
+				for deadline := time.Now().Add(10 * time.Second); !tr.over; time.Sleep(100 * time.Microsecond) {
+					if time.Now().After(deadline) {
+						t.Fatal("it never ends")
+					}
+					r.gather()
+					if r.now = r.clock(); !tr.over && tr.limit <= r.now {
+						r.overdue(tr)
+					}
+				}
+				for _, e := range r.events {
+					if s, ok := e.(logic.Settled); ok && s.Outcome == want {
+						return
+					}
+				}
+				t.Errorf("ended as %+v, want %v", r.events, want)
+			})
+		}
+	}
+}
+
+// TestWhatStaysUnreadGainsAMoment: and no more, or a peer that sends on and on would never be given up.
+func TestWhatStaysUnreadGainsAMoment(t *testing.T) {
+	w := open(t, 0)
+	l := raw(t, w)
+	r := byHand(t, w, single("one"))
+	conn := sent(t, r, l)
+	stop(t, r)
+	io.WriteString(conn, okAnswer)
+	if !port.Arrived(conn) {
+		t.Fatal("it never arrived")
+	}
+	tr := r.records["one"].trips[0]
+	r.now = tr.limit
+	if r.overdue(tr); tr.over || tr.limit != r.now+lastLook {
+		t.Fatalf("over %v, waited for %d us longer", tr.over, tr.limit-r.now)
+	}
+	r.now = tr.limit
+	if r.overdue(tr); !tr.over {
+		t.Error("waited for on and on")
+	}
+}
+
 // TestAWordBeforeTheCall: an endpoint that speaks first is told of once and gets nothing; nothing of the call has run.
 func TestAWordBeforeTheCall(t *testing.T) {
 	w := open(t, 0)
--- a/routing/links.go
+++ b/routing/links.go
@@ -225,6 +225,11 @@
 	return x != nil && x.sent && !x.over && ls.all[x.link] && x.link.had.Load() == x.link.turn.Load()
 }
 
+// stirs tells whether something that came since an exchange was written lies unread.
+func (ls *links) stirs(x *exchange) bool {
+	return x != nil && x.sent && !x.over && ls.all[x.link] && x.link.conn.Stirs()
+}
+
 // abort gives up an exchange; its connection goes with it.
 func (ls *links) abort(x *exchange) {
 	if x == nil || x.over {
--- a/routing/router.go
+++ b/routing/router.go
@@ -42,13 +42,14 @@
 
 // trip is one trip of a record; limit is when this side stops waiting.
 type trip struct {
-	rec   *record
-	no    int // among all trips of the record
-	call  *call
-	sent  logic.Micros
-	limit logic.Micros
-	noted bool // in the spool
-	over  bool
+	rec    *record
+	no     int // among all trips of the record
+	call   *call
+	sent   logic.Micros
+	limit  logic.Micros
+	noted  bool // in the spool
+	looked bool // as it was to be given up, something had come
+	over   bool
 }
 
 // reply is the answer to one command, written in the order of the commands.
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -321,13 +321,28 @@
 		return false
 	}
 	defer c.turn.Unlock()
-	if raw := c.up(); c.last || c.isOver() || raw != nil && readable(raw.Hash()) { // its hash is the descriptor
+	if c.last || c.isOver() || c.unread() {
 		return false
 	}
 	f()
 	return true
 }
 
+// Stirs tells whether something that came lies unread, or is being handled just now.
+func (c *Conn) Stirs() bool {
+	if !c.turn.TryLock() {
+		return true
+	}
+	defer c.turn.Unlock()
+	return c.unread()
+}
+
+// unread tells whether something that came lies unread, an end too. The caller holds the turn.
+func (c *Conn) unread() bool {
+	raw := c.up()
+	return raw != nil && readable(raw.Hash()) // its hash is the descriptor
+}
+
 func (c *Conn) isOver() bool {
 	c.state.Lock()
 	defer c.state.Unlock()
