--- a/cmd/pineport/reload_test.go
+++ b/cmd/pineport/reload_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"strings"
@@ -11,7 +12,9 @@
 	"testing"
 	"time"
 
+	"pineport/config"
 	"pineport/lab/scripted"
+	"pineport/logs"
 )
 
 // TestSettingsUnderFire: ten reloads in a second while records are held and come in, each with other limits below what is
@@ -122,3 +125,52 @@
 		t.Error(c.said())
 	}
 }
+
+// TestHangupsBetweenTwoRouters: hangups that come while no router takes configurations are not lost: the next router takes, last, what the
+// file says by then.
+func TestHangupsBetweenTwoRouters(t *testing.T) {
+	w, err := scripted.Open(1, func(string) scripted.Fate { return scripted.Fate{Status: 200} })
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(w.Close)
+	path := filepath.Join(t.TempDir(), "config.json")
+	says := func(name string) {
+		if err := os.WriteFile(path+".new", w.Configuration(name, "127.0.0.1:1"), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Rename(path+".new", path); err != nil {
+			t.Fatal(err)
+		}
+	}
+	log, err := logs.New(io.Discard, logs.Options{Level: "info", Queue: 16})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer log.Close(0)
+	p := &process{sources: config.Sources{Getenv: func(string) string { return "" }, File: path, State: t.TempDir()}, log: log,
+		reloads: make(chan *config.Deployment)}
+	hangups := make(chan os.Signal, 1)
+	heard := make(chan struct{})
+	go func() {
+		p.hear(hangups)
+		close(heard)
+	}()
+	says("first")
+	hangups <- syscall.SIGHUP
+	hangups <- syscall.SIGHUP // taken once the first is read, and nobody takes what that brought
+	says("last")
+	var dep *config.Deployment
+	for range 2 {
+		select {
+		case dep = <-p.reloads:
+		case <-time.After(10 * time.Second):
+			t.Fatal("a hangup was lost")
+		}
+	}
+	if dep.Name != "last" {
+		t.Errorf("the next router goes on by %q", dep.Name)
+	}
+	close(hangups)
+	<-heard
+}
