--- a/transport/crossings_test.go
+++ b/transport/crossings_test.go
@@ -28,8 +28,8 @@
 		t.Fatal(err)
 	}
 	defer l.Close()
-	stands, go_ := make(chan struct{}), make(chan struct{})
-	goOn = sync.OnceFunc(func() { close(go_) })
+	stands, release := make(chan struct{}), make(chan struct{})
+	goOn = sync.OnceFunc(func() { close(release) })
 	t.Cleanup(goOn)
 	up := make(chan struct{})
 	go func() {
@@ -42,7 +42,7 @@
 	}()
 	d.Dial(l.Addr().String(), 5*time.Second, newTold(func(*Conn, []byte) {
 		close(stands)
-		<-go_
+		<-release
 	}))
 	for _, c := range []chan struct{}{up, stands} {
 		select {
@@ -182,7 +182,7 @@
 func TestAReasonIsToldOnce(t *testing.T) {
 	why := errors.New("as if spoilt")
 	ended := make(chan error, 2)
-	_, addr := open(t, func() Handler { return &failingHandler{why, ended} })
+	d, addr := open(t, func() Handler { return &failingHandler{why, ended} })
 	peer := dial(t, addr)
 	io.WriteString(peer, "x")
 	if err := <-ended; err != why {
@@ -191,6 +191,10 @@
 	if _, err := peer.Read(make([]byte, 1)); err == nil {
 		t.Error("still open")
 	}
+	d.Close() // whatever is told is told by now
+	if len(ended) > 0 {
+		t.Errorf("told once more: %v", <-ended)
+	}
 }
 
 type failingHandler struct {
