Log lines for each endpoint list: what was applied, what was ignored, whose health changed

Need: an incident in pre-production (requests to draining or removed endpoints past the grace) can't be read from the logs: they tell of lists that failed and entries that were ignored, but not of the version that a list moved the courier to, nor when it heeded a drain.

No behaviour changes.

--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -234,6 +234,9 @@
 	ListFailed                     // nothing: the poll failed
 )
 
+// String returns the kind as it stands in logs.
+func (k UpdateKind) String() string { return [...]string{"cached", "complete", "partial", "failed"}[k] }
+
 func (MessageAccepted) event()    {}
 func (MessageRecovered) event()   {}
 func (AttemptFinished) event()    {}
--- a/server/discovery.go
+++ b/server/discovery.go
@@ -82,6 +82,7 @@
 				p.pollTimeoutAt = min(p.pollTimeoutAt, p.server.now+listTimeout)
 			}
 		}}
+	p.server.log.Debug("endpoint list polled", "version", p.version)
 	p.polledAt = p.server.now
 	p.pollInFlight, p.pollTimeoutAt = exchange, p.server.now+watchWait+watchTimeout
 	p.server.endpointConns.Start(exchange)
@@ -98,7 +99,7 @@
 		list, err = protocol.ReadList(a.Body)
 	}
 	if err != nil {
-		p.server.log.Warn("endpoint list poll failed", "error", err, "truncated", cut)
+		p.server.log.Warn("endpoint list poll failed", "error", err, "truncated", cut, "version", p.version)
 		if cut { // it has begun to tell, and what it reported counts
 			if list := protocol.ReadPart(part); list.Seq > p.version {
 				p.server.applyEndpoints(list, dispatch.PartialList)
--- a/server/endpoints.go
+++ b/server/endpoints.go
@@ -23,6 +23,7 @@
 			s.log.Warn("endpoint list entry ignored", "endpoint", entry.Host, "zone", entry.Zone, "type", entry.Kind)
 			continue
 		}
+		s.logHealthChange(l.Seq, before, entry)
 		if entry.Health == protocol.Removed {
 			delete(s.endpoints, listing.Endpoint)
 		} else {
@@ -30,6 +31,9 @@
 		}
 		news.Entries = append(news.Entries, listing)
 	}
+	if ignored := len(l.Faults) + len(l.Hosts) - len(news.Entries); len(news.Entries)+ignored > 0 {
+		s.log.Info("endpoint list applied", "version", l.Seq, "kind", how.String(), "entries", len(news.Entries), "ignored", ignored)
+	}
 	s.events = append(s.events, news)
 	for id, entry := range before {
 		if now := s.endpoints[id]; now.Health != protocol.InService || peerOf(now) != peerOf(entry) {
@@ -48,6 +52,14 @@
 	}
 }
 
+// logHealthChange logs that an endpoint of the list before has another health now.
+func (s *Server) logHealthChange(version int64, before map[dispatch.EndpointID]protocol.Host, entry protocol.Host) {
+	known, ok := before[dispatch.EndpointID(entry.Host)]
+	if ok && known.Health != entry.Health {
+		s.log.Info("endpoint health changed", "endpoint", entry.Host, "from", known.Health, "to", entry.Health, "version", version)
+	}
+}
+
 // unlistedLifetime is how long a destination without any listed endpoint is still known: many times what replacing its endpoints takes.
 const unlistedLifetime = 600 * 1000 * 1000
 
