--- a/testbed/scripted/scripted.go
+++ b/testbed/scripted/scripted.go
@@ -46,7 +46,9 @@
 	mu       sync.Mutex
 	fate     func(id string) Fate
 	seq      int
-	dests    []int // of the endpoints
+	dests    []int         // of the endpoints
+	draining map[int]int   // endpoints that drain, and the version of the list since when
+	changed  chan struct{} // closed with each drain
 	calls    []*atomic.Int64
 	began    map[string]int // calls that were begun, by message
 	done     map[string]int
@@ -62,7 +64,7 @@
 
 // Open starts a world with so many endpoints; fate decides for each call.
 func Open(endpoints int, fate func(id string) Fate) (*World, error) {
-	w := &World{lines: map[string]*line{}, fate: fate, seq: 1 - endpoints, began: map[string]int{}, done: map[string]int{}, notices: map[string][]string{}}
+	w := &World{lines: map[string]*line{}, fate: fate, seq: 1 - endpoints, draining: map[int]int{}, changed: make(chan struct{}), began: map[string]int{}, done: map[string]int{}, notices: map[string][]string{}}
 	if err := w.settle(); err != nil {
 		return nil, err
 	}
@@ -124,6 +126,16 @@
 	return err
 }
 
+// Drain has discovery report an endpoint as draining, to whoever watches at once.
+func (w *World) Drain(endpoint int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.seq++
+	w.draining[endpoint] = w.seq
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
 // Calls is how many calls have come to an endpoint.
 func (w *World) Calls(endpoint int) int {
 	w.mu.Lock()
@@ -149,38 +161,59 @@
 func (w *World) Known() json.RawMessage {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	return w.listSince(-1)
+}
+
+// listSince returns what was drained after a version, or, for a negative one, the whole list. The caller holds the lock.
+func (w *World) listSince(version int) json.RawMessage {
 	type host map[string]any
 	hosts := []host{}
 	for i, addr := range w.Endpoints {
+		since, drains := w.draining[i]
+		if version >= 0 && (!drains || since <= version) {
+			continue
+		}
+		health := "in_service"
+		if drains {
+			health = "terminating"
+		}
 		hosts = append(hosts, host{"host": fmt.Sprintf("s-%d", i), "dial": addr, "site": "a", "class": "plain",
-			"block": w.dests[i], "health": "in_service", "share": 50.0, "born_ms": 0})
+			"block": w.dests[i], "health": health, "share": 50.0, "born_ms": 0})
 	}
-	text, _ := json.Marshal(map[string]any{"seq": w.seq, "whole": true, "hosts": hosts})
+	text, _ := json.Marshal(map[string]any{"seq": w.seq, "whole": version < 0, "hosts": hosts})
 	return text
 }
 
 func (w *World) list(rw http.ResponseWriter, r *http.Request) {
-	index, _ := strconv.Atoi(r.FormValue("index"))
+	index, err := strconv.Atoi(r.FormValue("index"))
+	if err != nil {
+		index = -1
+	}
 	if w.Lists != nil {
-		if text := w.Lists(index); text != "" {
+		if text := w.Lists(max(index, 0)); text != "" {
 			fmt.Fprint(rw, text)
 			return
 		}
 	}
 	w.mu.Lock()
-	seq := w.seq
+	seq, changed := w.seq, w.changed
 	w.mu.Unlock()
 	if index >= seq {
 		wait, _ := strconv.Atoi(r.FormValue("wait"))
 		select {
 		case <-time.After(time.Duration(min(wait, 60000)) * time.Millisecond):
+		case <-changed:
 		case <-r.Context().Done():
 			return
 		}
-		fmt.Fprintf(rw, `{"seq":%d,"whole":false,"hosts":[]}`, seq)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if index >= 0 && len(w.draining) > 0 || index >= w.seq {
+		rw.Write(w.listSince(index))
 		return
 	}
-	rw.Write(w.Known())
+	rw.Write(w.listSince(-1))
 }
 
 func (w *World) notice(rw http.ResponseWriter, r *http.Request) {
