A courier's time passes as real time does, over restarts and handoffs too; clock is the one reader of clocks

Cause: deadlines, attempts, windows and learned state are stored as Unix time, and each process took its time from the wall clock once. A step between two processes moved them all: an hour forward gave all untried messages up without a call, an hour back kept them for an hour. Sequence numbers of quota's packets began at the wall clock too.

While a process runs no step mattered before either: spans went by the monotonic clock.

Formats of older files are untouched. All other packages read clocks through it.

TestOnlyClockReadsTheClocks holds the rest.

--- a/clock/clock.go
+++ b/clock/clock.go
@@ -32,6 +32,13 @@
 // bootPath names the machine's start: the monotonic clock runs from there.
 const bootPath = "/proc/sys/kernel/random/boot_id"
 
+// Instant returns the instant that it is, for spans within this process alone: it compares by the monotonic clock. What it shows as a
+// date is the wall clock's, which only a log may show.
+func Instant() time.Time { return time.Now() }
+
+// Since returns the span since an instant of this process.
+func Since(instant time.Time) time.Duration { return time.Since(instant) }
+
 // Readings are what the system's clocks show at one instant.
 type Readings struct {
 	Wall      int64     // microseconds of Unix time
@@ -40,13 +47,16 @@
 	instant   time.Time // the same instant, for spans within this process
 }
 
-// System reads the system's clocks.
+// Source reads the clocks that a courier's time is taken from, at its start.
+type Source func() Readings
+
+// System is the source in service: the system's clocks.
 func System() Readings {
 	id, err := os.ReadFile(bootPath)
 	if err != nil {
 		id = nil // then no anchor is used
 	}
-	now := time.Now()
+	now := Instant()
 	return Readings{Wall: now.UnixMicro(), Monotonic: monotonic(), Boot: strings.TrimSpace(string(id)), instant: now}
 }
 
@@ -95,11 +105,17 @@
 // Now returns the courier's time, in microseconds. Any goroutine may call it.
 func (c *Clock) Now() int64 { return c.startedAt + time.Since(c.started).Microseconds() }
 
+// At returns the courier's time at an instant of this process, which must have been read from time.Now.
+func (c *Clock) At(instant time.Time) int64 {
+	return c.startedAt + instant.Sub(c.started).Microseconds()
+}
+
 // Store writes the anchor, unless it is there. Until it is, a restart goes by the wall clock.
 func (c *Clock) Store() error {
 	if c.stored {
 		return nil
 	}
+	atomicfile.RemoveLeftovers(c.dir, Name)
 	text, err := json.Marshal(c.anchor)
 	if err != nil {
 		return err
--- /dev/null
+++ b/cmd/pineport/clock_test.go
@@ -0,0 +1,145 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"pineport/clock"
+	"pineport/config"
+	"pineport/testbed/scripted"
+)
+
+// wallStep has this test program run as a courier on a machine whose wall clock is off by so much.
+const wallStep = "PINEPORT_TEST_WALL_STEP"
+
+func runStepped(step string) {
+	by, err := time.ParseDuration(step)
+	if err != nil {
+		panic(err)
+	}
+	stepped := func() clock.Readings {
+		readings := clock.System()
+		readings.Wall += by.Microseconds()
+		return readings
+	}
+	if err := runBy(stepped, config.Sources{Getenv: os.Getenv}, os.Stderr); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	os.Exit(0)
+}
+
+// TestWallClockStepsBetweenProcesses: the wall clock is stepped between a process that is killed, or hands over, and the next, forward and
+// back. What was taken on and untried is still delivered; what cannot be delivered ends in its time, by the real clock; a Retry-After that
+// was told still holds, and no longer than it was told.
+//
+// Failure: times in the folder were Unix time, and each process took its own from the wall clock: an hour forward had all messages given up
+// without a call, an hour back kept them for an hour longer.
+func TestWallClockStepsBetweenProcesses(t *testing.T) {
+	var all sync.WaitGroup
+	for _, step := range []string{"2s", "90s", "1h", "-2s", "-90s", "-1h"} {
+		for _, handsOver := range []bool{false, true} {
+			all.Go(func() {
+				t.Run(fmt.Sprintf("%s, hands over %v", step, handsOver), func(t *testing.T) { playWallStep(t, step, handsOver) })
+			})
+		}
+	}
+	all.Wait()
+}
+
+func playWallStep(t *testing.T, step string, handsOver bool) {
+	const shortMs = 3000
+	var open atomic.Bool // until then the endpoint turns all away
+	world, err := scripted.Open(1, func(id string) scripted.Fate {
+		if open.Load() && strings.HasPrefix(id, "keep") {
+			return scripted.Fate{Status: 200}
+		}
+		return scripted.Fate{Status: 503}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(world.Close)
+	c := newCourier(t, world)
+	c.binary, c.env = os.Args[0], []string{wallStep + "=0s"}
+	c.start()
+	began := time.Now()
+	for _, class := range []string{"update", "order"} {
+		for n := range 3 {
+			replies := c.ask(enqueue(fmt.Sprintf("keep-%s-%d", class, n), class, 8000), enqueue(fmt.Sprintf("short-%s-%d", class, n), class, shortMs))
+			if replies[0] != "+OK" || replies[1] != "+OK" {
+				t.Fatalf("replies %q", replies)
+			}
+		}
+	}
+	before := c.cmd
+	c.env = []string{wallStep + "=" + step}
+	if !handsOver {
+		before.Process.Kill()
+		before.Wait()
+		c.start()
+	} else {
+		t.Cleanup(func() { before.Process.Kill() })
+		c.start()
+		waitFor(t, "a handoff", 5*time.Second, func() bool { return strings.Contains(c.said(), "handed over to the successor") })
+		before.Process.Signal(syscall.SIGTERM)
+		go before.Wait()
+	}
+	open.Store(true)
+	for _, class := range []string{"update", "order"} {
+		for n := range 3 {
+			keep, short := fmt.Sprintf("keep-%s-%d", class, n), fmt.Sprintf("short-%s-%d", class, n)
+			waitFor(t, keep+" is delivered", 7*time.Second, func() bool { _, done, _ := world.Seen(keep); return done == 1 })
+			waitFor(t, short+" ends with a notice", time.Until(began.Add(shortMs*time.Millisecond+1800*time.Millisecond)), func() bool {
+				_, _, notices := world.Seen(short)
+				return len(notices) > 0
+			})
+		}
+	}
+}
+
+// TestOnlyClockReadsTheClocks: no other package of the courier reads a system's clock, by itself or through package time.
+func TestOnlyClockReadsTheClocks(t *testing.T) {
+	couriers := []string{"admin", "atomicfile", "cmd/pineport", "config", "dispatch", "handoff", "logging", "maintenance", "membership", "protocol", "quota", "server",
+		"snapshot", "spool", "transport"}
+	readers := map[string]bool{"time.Now": true, "time.Since": true, "time.Until": true, "unix.ClockGettime": true, "syscall.Gettimeofday": true}
+	for _, dir := range couriers {
+		err := filepath.WalkDir(filepath.Join("..", "..", dir), func(path string, entry fs.DirEntry, err error) error {
+			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			text, err := os.ReadFile(path)
+			if err != nil {
+				return err
+			}
+			file, err := parser.ParseFile(token.NewFileSet(), path, bytes.NewReader(text), 0)
+			if err != nil {
+				return err
+			}
+			ast.Inspect(file, func(node ast.Node) bool {
+				if selector, ok := node.(*ast.SelectorExpr); ok {
+					if of, ok := selector.X.(*ast.Ident); ok && readers[of.Name+"."+selector.Sel.Name] {
+						t.Errorf("%s reads a clock by %s.%s", path, of.Name, selector.Sel.Name)
+					}
+				}
+				return true
+			})
+			return nil
+		})
+		if err != nil {
+			t.Error(err)
+		}
+	}
+}
--- a/cmd/pineport/fleet.go
+++ b/cmd/pineport/fleet.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"pineport/clock"
 	"pineport/handoff"
 	"pineport/logging"
 	"pineport/membership"
@@ -100,12 +101,12 @@
 			x.Receive(text)
 		}
 	}
-	for until := time.Now().Add(enterWithin); ; {
+	for until := clock.Instant().Add(enterWithin); ; {
 		member, err := gossip.Open(o)
 		if err == nil && dep.Peers.Sharing() {
-			shares.Store(share(member, router, o))
+			shares.Store(share(member, router, o, uint64(p.clock.Load().Now()/1000)))
 		}
-		if err == nil || time.Now().After(until) {
+		if err == nil || clock.Instant().After(until) {
 			return member, shares.Load(), err
 		}
 		select {
@@ -117,7 +118,7 @@
 }
 
 // share has this courier grant and borrow parts of limits, at half the pace of membership or faster.
-func share(member *gossip.Member, router *server.Server, o gossip.Options) *exchange.Exchange {
+func share(member *gossip.Member, router *server.Server, o gossip.Options, sequence uint64) *exchange.Exchange {
 	heard := func() (couriers int, alive []string) {
 		p := member.Snapshot()
 		for _, one := range p.Members {
@@ -128,7 +129,7 @@
 		return p.MaxCouriers, alive
 	}
 	return exchange.Open(exchange.Options{Self: o.Name, Incarnation: member.Incarnation(), Interval: min(o.Interval/2, maxExchangeInterval), Log: o.Log, Fleet: heard, Send: member.Send,
-		Demands: router.Demands, Apply: router.ApplyShares})
+		FirstSequence: sequence, Demands: router.Demands, Apply: router.ApplyShares})
 }
 
 // fleet is what operators see of it.
--- a/cmd/pineport/main_test.go
+++ b/cmd/pineport/main_test.go
@@ -25,6 +25,7 @@
 	dir    string
 	listen string
 	ops    string // the operators' address; empty for none
+	env    []string
 	cmd    *exec.Cmd
 	log    *os.File
 }
@@ -36,6 +37,9 @@
 	if os.Getenv(hangs) != "" {
 		hang()
 	}
+	if step := os.Getenv(wallStep); step != "" {
+		runStepped(step)
+	}
 	dir, err := os.MkdirTemp("", "pineport-test")
 	if err != nil {
 		panic(err)
@@ -87,6 +91,7 @@
 	c.cmd = exec.Command(c.binary)
 	c.cmd.Env = append(os.Environ(), "RELAY_CONFIG="+filepath.Join(c.dir, "config.json"), "RELAY_STATE="+filepath.Join(c.dir, "state"),
 		"RELAY_OPS="+c.ops)
+	c.cmd.Env = append(c.cmd.Env, c.env...)
 	c.cmd.Stderr = c.log
 	if err := c.cmd.Start(); err != nil {
 		c.t.Fatal(err)
--- a/cmd/pineport/run.go
+++ b/cmd/pineport/run.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"pineport/admin"
+	"pineport/clock"
 	"pineport/config"
 	"pineport/dispatch"
 	"pineport/handoff"
@@ -33,7 +34,10 @@
 const lastLines = 50 * time.Millisecond
 
 // run is the courier, until it is notified to end.
-func run(sources config.Sources, out io.Writer) error {
+func run(sources config.Sources, out io.Writer) error { return runBy(clock.System, sources, out) }
+
+// runBy is run with the clocks that the courier's time is taken from.
+func runBy(clocks clock.Source, sources config.Sources, out io.Writer) error {
 	hangups := make(chan os.Signal, 1) // first of all, or a hangup would end the process; one more stands for many
 	signal.Notify(hangups, syscall.SIGHUP)
 	dep, err := config.From(sources)
@@ -61,7 +65,7 @@
 	}
 	warn(log.Logger, dep)
 	limits(dep)
-	p := &process{sources: sources, dep: dep, log: log, desk: desk, stop: make(chan struct{}), reloads: make(chan *config.Deployment)}
+	p := &process{clocks: clocks, sources: sources, dep: dep, log: log, desk: desk, stop: make(chan struct{}), reloads: make(chan *config.Deployment)}
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
@@ -86,6 +90,8 @@
 	reloads chan *config.Deployment
 	router  atomic.Pointer[server.Server]
 	member  atomic.Pointer[gossip.Member] // of the fleet; nil: none
+	clocks  clock.Source
+	clock   atomic.Pointer[clock.Clock]
 }
 
 // hear reads the configuration anew at each hangup.
@@ -134,7 +140,8 @@
 	for _, fault := range faults {
 		log.With(logging.Component, "spool").Warn("spool error", "error", fault)
 	}
-	router, err := server.New(dep, kept, unfinished, given, log.With(logging.Component, "routing"))
+	clk := p.openClock(ctx, unfinished, given)
+	router, err := server.New(dep, kept, unfinished, given, clk, log.With(logging.Component, "routing"))
 	if err != nil {
 		return err
 	}
@@ -150,6 +157,55 @@
 	return router.Run(p.stop, p.reloads, grace)
 }
 
+// anchorRetry is how often it is tried to store the clock's anchor, where that fails.
+const anchorRetry = time.Second
+
+// openClock returns the time of the courier: that of the processes before this one, going on. Failure: each process took its time from
+// the wall clock, and one that had been stepped in between moved all deadlines, windows and waits in the folder.
+func (p *process) openClock(ctx context.Context, unfinished []*spool.Message, given *handoff.State) *clock.Clock {
+	dir, log := p.dep.Spool, p.log.With(logging.Component, "routing")
+	readings := p.clocks()
+	if given != nil {
+		readings.Wall = int64(given.Snapshot.TakenAt) // a moment ago, by the clock of whoever handed over
+	}
+	clk, err := clock.Open(dir, readings, latestTime(dir, p.dep.Name, unfinished))
+	if err != nil {
+		log.Warn("clock anchor not used", "file", clock.Name, "error", err)
+	}
+	p.clock.Store(clk)
+	go storeAnchor(ctx, clk, log)
+	return clk
+}
+
+// storeAnchor stores the anchor of a clock, as often as it takes.
+func storeAnchor(ctx context.Context, clk *clock.Clock, log *slog.Logger) {
+	for {
+		err := clk.Store()
+		if err == nil {
+			return
+		}
+		log.Warn("clock anchor not stored", "file", clock.Name, "error", err)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(anchorRetry):
+		}
+	}
+}
+
+// latestTime returns the latest time that is known of earlier processes: no later one begins before it.
+func latestTime(dir, courier string, unfinished []*spool.Message) (latest int64) {
+	if state, err := snapshot.Read(dir, courier, 0, snapshot.MaxSize); err == nil {
+		latest = max(latest, int64(state.Snapshot.TakenAt))
+	}
+	for _, message := range unfinished {
+		for _, attempt := range message.Attempts {
+			latest = max(latest, attempt.SentAt)
+		}
+	}
+	return latest
+}
+
 // attach joins a new event loop with the parts of the process that outlast it; given is what a predecessor handed over, or nil.
 func (p *process) attach(router *server.Server, given *handoff.State) {
 	dep, log := p.dep, p.log
@@ -182,7 +238,7 @@
 
 // known is what was learned by an earlier process, or by this one before it handed all over: the younger, with all waits.
 func (p *process) known(before *server.Server, limit int, log *slog.Logger) *dispatch.Snapshot {
-	snapshot := earlier(p.dep, limit, log)
+	snapshot := earlier(p.dep, p.clock.Load(), limit, log)
 	if before == nil {
 		return snapshot
 	}
@@ -211,8 +267,9 @@
 }
 
 // earlier is what an earlier process learned; nil, and a line in the log, where it cannot be used.
-func earlier(dep *config.Deployment, limit int, log *slog.Logger) *dispatch.Snapshot {
-	state, err := snapshot.Read(dep.Spool, dep.Name, dispatch.Micros(time.Now().UnixMicro()), limit)
+func earlier(dep *config.Deployment, clk *clock.Clock, limit int, log *slog.Logger) *dispatch.Snapshot {
+	now := dispatch.Micros(clk.Now())
+	state, err := snapshot.Read(dep.Spool, dep.Name, now, limit)
 	switch {
 	case errors.Is(err, snapshot.ErrAbsent):
 		return nil
@@ -220,7 +277,7 @@
 		log.Warn("snapshot not used", "file", snapshot.Name, "error", err)
 		return nil
 	}
-	age := time.Since(time.UnixMicro(int64(state.Snapshot.TakenAt)))
+	age := time.Duration(now-state.Snapshot.TakenAt) * time.Microsecond
 	log.Info("snapshot restored", "groups", len(state.Snapshot.Groups), "endpoints", len(state.Snapshot.Endpoints), "age", age.Round(time.Millisecond))
 	return &state.Snapshot
 }
--- a/cmd/pineport/state.go
+++ b/cmd/pineport/state.go
@@ -11,6 +11,7 @@
 
 	"github.com/spf13/cobra"
 
+	"pineport/clock"
 	"pineport/dispatch"
 	"pineport/snapshot"
 )
@@ -32,7 +33,7 @@
 			case "json":
 				return printJSON(cmd.OutOrStdout(), state)
 			case "table":
-				return showState(cmd.OutOrStdout(), state, size)
+				return showState(cmd.OutOrStdout(), folderOf(args[0]), state, size)
 			}
 			return fmt.Errorf("--output: table or json was expected, not %q", output)
 		},
@@ -46,7 +47,7 @@
 			state, size, err := readState(args[0])
 			if err == nil {
 				fmt.Fprintf(cmd.OutOrStdout(), "sound: courier %s, %d groups, %d endpoints, %d bytes, %s old\n", state.Courier,
-					len(state.Snapshot.Groups), len(state.Snapshot.Endpoints), size, age(state.Snapshot.TakenAt))
+					len(state.Snapshot.Groups), len(state.Snapshot.Endpoints), size, age(folderOf(args[0]), state.Snapshot.TakenAt))
 			}
 			return err
 		},
@@ -68,14 +69,23 @@
 	return state, len(content), err
 }
 
-func age(at dispatch.Micros) time.Duration {
-	return time.Since(time.UnixMicro(int64(at))).Round(time.Millisecond)
+// folderOf returns the folder that a file, or the folder itself, stands for.
+func folderOf(path string) string {
+	if info, err := os.Stat(path); err == nil && info.IsDir() {
+		return path
+	}
+	return filepath.Dir(path)
+}
+
+// age returns how old a time of a courier is, by the anchor beside the file.
+func age(dir string, at dispatch.Micros) time.Duration {
+	return (time.Duration(clock.Peek(dir)-int64(at)) * time.Microsecond).Round(time.Millisecond)
 }
 
-func showState(out io.Writer, state snapshot.State, size int) error {
+func showState(out io.Writer, dir string, state snapshot.State, size int) error {
 	l := state.Snapshot
 	table := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
-	fmt.Fprintf(table, "courier %s, kept %s (%s ago), %d bytes\n\n", state.Courier, time.UnixMicro(int64(l.TakenAt)).Format(time.RFC3339Nano), age(l.TakenAt), size)
+	fmt.Fprintf(table, "courier %s, kept %s (%s ago), %d bytes\n\n", state.Courier, time.UnixMicro(int64(l.TakenAt)).Format(time.RFC3339Nano), age(dir, l.TakenAt), size)
 	fmt.Fprintln(table, "DESTINATION\tENDPOINT\tHEALTH\tBREAKERS\tINTERVAL\tRETRY AFTER\tANSWER TIME\tDELIVERED\tLIMIT/S")
 	for _, group := range l.Groups {
 		health := "healthy"
--- a/handoff/folder.go
+++ b/handoff/folder.go
@@ -10,6 +10,8 @@
 	"path/filepath"
 	"syscall"
 	"time"
+
+	"pineport/clock"
 )
 
 const (
@@ -107,7 +109,7 @@
 		return nil, nil, err
 	}
 	link := newLink(conn)
-	conn.SetReadDeadline(time.Now().Add(talkTimeout))
+	conn.SetReadDeadline(clock.Instant().Add(talkTimeout))
 	link.Send(Message{Hello: &Hello{Version: Version, Courier: courier}})
 	message, err := link.next()
 	if err != nil {
@@ -145,7 +147,7 @@
 			}
 			go func() {
 				link := newLink(conn)
-				conn.SetReadDeadline(time.Now().Add(talkTimeout))
+				conn.SetReadDeadline(clock.Instant().Add(talkTimeout))
 				if message, err := link.next(); err != nil || message.Hello == nil {
 					link.Close()
 				} else {
--- a/handoff/message.go
+++ b/handoff/message.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"pineport/clock"
 	"pineport/dispatch"
 	"pineport/protocol"
 )
@@ -139,7 +140,7 @@
 // Refuse sends a refusal with its reason, and ends the link.
 func (l *Link) Refuse(why string) {
 	if text, err := json.Marshal(Message{Refused: why}); err == nil {
-		l.conn.SetWriteDeadline(time.Now().Add(refuseTimeout))
+		l.conn.SetWriteDeadline(clock.Instant().Add(refuseTimeout))
 		l.conn.Write(append(text, '\n'))
 	}
 	l.Close()
--- a/logging/logging.go
+++ b/logging/logging.go
@@ -12,6 +12,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"pineport/clock"
 )
 
 // Options are how a log is kept.
@@ -108,7 +110,7 @@
 			l.written.Add(1)
 		}
 		if n := l.dropped.Load(); n > logged && len(l.queue) < cap(l.queue)/2 {
-			record := slog.NewRecord(time.Now(), slog.LevelWarn, "log lines dropped", 0)
+			record := slog.NewRecord(clock.Instant(), slog.LevelWarn, "log lines dropped", 0)
 			record.AddAttrs(slog.Int64("count", n-logged), slog.String(Component, "logs"))
 			logged = n
 			_ = l.Logger.Handler().(*handler).form.Handle(context.Background(), record) // into the queue, which has room
@@ -121,9 +123,9 @@
 		case line := <-l.queue:
 			put(line)
 		case <-look.C:
-			l.repeats.tell(time.Now(), false)
+			l.repeats.tell(clock.Instant(), false)
 		case <-l.quit:
-			l.repeats.tell(time.Now(), true)
+			l.repeats.tell(clock.Instant(), true)
 			for {
 				select {
 				case line := <-l.queue:
@@ -248,7 +250,7 @@
 	if s.count == 0 {
 		return
 	}
-	r := slog.NewRecord(time.Now(), s.record.Level, s.record.Message, 0)
+	r := slog.NewRecord(clock.Instant(), s.record.Level, s.record.Message, 0)
 	s.record.Attrs(func(a slog.Attr) bool { r.AddAttrs(a); return true })
 	r.AddAttrs(slog.Int("repeated", s.count))
 	_ = s.handler.form.Handle(context.Background(), r) // into the queue
--- a/membership/gossip/gossip.go
+++ b/membership/gossip/gossip.go
@@ -17,6 +17,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/hashicorp/memberlist"
 
+	"pineport/clock"
 	"pineport/dispatch"
 	"pineport/membership"
 )
@@ -134,7 +135,7 @@
 	if err != nil || len(key) != 0 && len(key) != 16 && len(key) != 24 && len(key) != 32 {
 		return nil, fmt.Errorf("peers.key: 16, 24 or 32 bytes in hex were expected")
 	}
-	member := &Member{options: o, log: o.Log, events: make(chan membership.Event, queueSize), startedAt: time.Now(), changes: map[string]int64{}}
+	member := &Member{options: o, log: o.Log, events: make(chan membership.Event, queueSize), startedAt: clock.Instant(), changes: map[string]int64{}}
 	member.incarnation.Store(o.Incarnation)
 	member.membership = membership.New(membership.Config{Self: membership.Name(o.Name), Incarnation: membership.Incarnation(o.Incarnation), FleetSize: o.FleetSize, Tick: dispatch.Micros((o.Interval / ticks).Microseconds()), Seed: o.Seed})
 	member.publish()
@@ -216,7 +217,7 @@
 		for range len(m.events) {
 			events = append(events, <-m.events)
 		}
-		actions := m.membership.Handle(dispatch.Micros(time.Since(m.startedAt).Microseconds())+1, events...)
+		actions := m.membership.Handle(dispatch.Micros(clock.Since(m.startedAt).Microseconds())+1, events...)
 		m.carryOut(actions)
 		if len(actions) > 0 || passed >= ticks { // who answered last may be shown a pace late
 			passed = 0
--- a/membership/gossip/transport.go
+++ b/membership/gossip/transport.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/hashicorp/memberlist"
+
+	"pineport/clock"
 )
 
 const (
@@ -102,7 +104,7 @@
 		t.counts.packetsIn.Add(1)
 		t.counts.bytesIn.Add(int64(n))
 		select {
-		case t.packets <- &memberlist.Packet{Buf: buf[:n], From: from, Timestamp: time.Now()}:
+		case t.packets <- &memberlist.Packet{Buf: buf[:n], From: from, Timestamp: clock.Instant()}:
 		default:
 			t.counts.turned.Add(1)
 		}
@@ -138,7 +140,7 @@
 // bounded is a stream that ends after so many bytes and so long, whatever the other side sends.
 func (t *sockets) bounded(conn net.Conn, after func()) net.Conn {
 	t.counts.streams.Add(1)
-	b := &stream{Conn: conn, left: streamBytes, counts: &t.counts, after: after, end: time.Now().Add(streamFor)}
+	b := &stream{Conn: conn, left: streamBytes, counts: &t.counts, after: after, end: clock.Instant().Add(streamFor)}
 	conn.SetDeadline(b.end)
 	return b
 }
@@ -200,7 +202,7 @@
 	n, err := t.udp.WriteTo(b, to)
 	t.counts.packetsOut.Add(1)
 	t.counts.bytesOut.Add(int64(n))
-	return time.Now(), err
+	return clock.Instant(), err
 }
 
 func (t *sockets) PacketCh() <-chan *memberlist.Packet { return t.packets }
--- a/quota/exchange/exchange.go
+++ b/quota/exchange/exchange.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"pineport/clock"
 	"pineport/dispatch"
 	"pineport/quota"
 )
@@ -20,7 +21,10 @@
 	Self        string
 	Incarnation uint64
 	Interval    time.Duration
-	Log         *slog.Logger
+	// FirstSequence is beyond all sequence numbers of an earlier process of this incarnation: the courier's time at its start, in
+	// milliseconds. The two processes of an upgrade have one incarnation.
+	FirstSequence uint64
+	Log           *slog.Logger
 	// Fleet is how many couriers are counted on, and who else is heard.
 	Fleet func() (couriers int, alive []string)
 	// Send has a member hear words, which may be lost. It must not wait.
@@ -70,12 +74,12 @@
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
 	}
-	x := &Exchange{options: o, startedAt: time.Now(), packets: make(chan quota.Packet, queueSize), looks: make(chan chan Status)}
+	x := &Exchange{options: o, startedAt: clock.Instant(), packets: make(chan quota.Packet, queueSize), looks: make(chan chan Status)}
 	var salt [8]byte
 	rand.Read(salt[:])
 	couriers, _ := o.Fleet()
 	x.allocator = quota.New(x.now(), quota.Config{Self: o.Self, Incarnation: o.Incarnation, Couriers: couriers, Seed: int64(binary.LittleEndian.Uint64(salt[:])),
-		FirstSequence: uint64(x.startedAt.UnixMilli())}) // the two processes of an upgrade have one start
+		FirstSequence: o.FirstSequence})
 	ctx, cancel := context.WithCancel(context.Background())
 	x.stop = cancel
 	x.done.Add(1)
@@ -125,7 +129,7 @@
 }
 
 func (x *Exchange) now() dispatch.Micros {
-	return dispatch.Micros(time.Since(x.startedAt).Microseconds()) + 1
+	return dispatch.Micros(clock.Since(x.startedAt).Microseconds()) + 1
 }
 
 func (x *Exchange) run(ctx context.Context) {
--- a/server/quota.go
+++ b/server/quota.go
@@ -54,7 +54,7 @@
 		return // another process decides, and has been reported nothing
 	}
 	at := func(t dispatch.Micros) dispatch.Micros {
-		return s.startedAtUnix + dispatch.Micros(agreed.epoch.Add(time.Duration(t)*time.Microsecond).Sub(s.startedAt).Microseconds())
+		return dispatch.Micros(s.courierClock.At(agreed.epoch.Add(time.Duration(t) * time.Microsecond)))
 	}
 	s.events = append(s.events, quota.ToDispatch(agreed.parts, at))
 	s.operators.replies = append(s.operators.replies, func() { close(agreed.applied) })
--- a/server/reload.go
+++ b/server/reload.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"pineport/clock"
 	"pineport/config"
 	"pineport/dispatch"
 	"pineport/maintenance"
@@ -65,7 +66,7 @@
 // SpoolLimit is the spool's part of the state folder, in bytes.
 func SpoolLimit(dep *config.Deployment) int64 {
 	folder := int64(dep.SpoolMB * 1e6)
-	left := folder
+	left := folder - clock.Reserve
 	if dep.Learn > 0 {
 		room, _ := snapshot.Reserve(folder)
 		left -= room
--- a/server/server.go
+++ b/server/server.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"pineport/clock"
 	"pineport/config"
 	"pineport/dispatch"
 	"pineport/handoff"
@@ -45,8 +46,7 @@
 	queue              chan event
 	control            chan event // operators and the other process of an upgrade, served before the inbox
 
-	startedAt          time.Time // for the clock: Unix time at the start, and what has passed since
-	startedAtUnix      dispatch.Micros
+	courierClock       *clock.Clock
 	now                dispatch.Micros
 	timerAt            dispatch.Micros
 	events             []dispatch.Event
@@ -82,14 +82,13 @@
 }
 
 // New returns an event loop over an open spool; unfinished is what the spool still held. given is what a predecessor handed over, nil where
-// none did.
-func New(dep *config.Deployment, sp *spool.Spool, unfinished []*spool.Message, given *handoff.State, log *slog.Logger) (*Server, error) {
+// none did; times in both are those of the clock.
+func New(dep *config.Deployment, sp *spool.Spool, unfinished []*spool.Message, given *handoff.State, clk *clock.Clock, log *slog.Logger) (*Server, error) {
 	r := &Server{deployment: dep, log: log, spool: sp, queue: make(chan event, queueSize), control: make(chan event, controlQueueSize),
-		startedAt: time.Now(), timerAt: never, shutdownBy: never, drainAt: never, messages: map[dispatch.MessageID]*message{},
+		courierClock: clk, timerAt: never, shutdownBy: never, drainAt: never, messages: map[dispatch.MessageID]*message{},
 		endpoints: map[dispatch.EndpointID]protocol.Host{}, suspects: map[dispatch.EndpointID]bool{}, retryAfter: map[string]dispatch.Micros{}, destinations: map[int]dispatch.Micros{}}
 	r.tracer = log.With(logging.Component, "decisions")
-	r.startedAtUnix = dispatch.Micros(r.startedAt.UnixMicro())
-	r.now = r.startedAtUnix
+	r.now = r.clock()
 	r.newDispatcher = func() dispatcher {
 		r.reserveGranted()
 		ch := r.dispatchConfig()
@@ -187,7 +186,7 @@
 }
 
 func (s *Server) clock() dispatch.Micros {
-	return s.startedAtUnix + dispatch.Micros(time.Since(s.startedAt).Microseconds())
+	return dispatch.Micros(s.courierClock.Now())
 }
 
 // logSpoolError logs what could not be written to the spool; the loop goes on with what is in memory.
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"pineport/clock"
 	"pineport/config"
 	"pineport/dispatch"
 	"pineport/handoff"
@@ -79,7 +80,11 @@
 			t.Fatal(err)
 		}
 	}
-	r, err := New(dep, kept, held, nil, slog.New(slog.DiscardHandler))
+	clk, err := clock.Open(dir, clock.System(), 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := New(dep, kept, held, nil, clk, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/snapshot/file.go
+++ b/snapshot/file.go
@@ -201,9 +201,12 @@
 // Sweep removes what an interrupted write left behind, and returns how many files that were.
 func Sweep(dir string) (removed int) { return atomicfile.RemoveLeftovers(dir, Name) }
 
+// MaxSize is the most that a file may hold in any folder, in bytes.
+const MaxSize = 128 << 10
+
 // Reserve returns how many bytes of a folder's limit are reserved for the file and, while it is replaced, its successor, in whole
 // blocks, and the limit of one of them: a sixteenth of the folder together, a quarter of a megabyte at most.
 func Reserve(folder int64) (room int64, limit int) {
-	each := min(folder/16, 256<<10) / 2 / block * block
+	each := min(folder/16, 2*MaxSize) / 2 / block * block
 	return 2 * each, int(each)
 }
--- a/testbed/scale/held.go
+++ b/testbed/scale/held.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"pineport/clock"
 	"pineport/config"
 	"pineport/dispatch"
 	"pineport/protocol"
@@ -257,7 +258,11 @@
 	heapSpool := heapInUse()
 
 	began = time.Now()
-	router, err := server.New(deployment, kept, unfinished, nil, slog.New(slog.DiscardHandler))
+	clk, err := clock.Open(folder, clock.System(), 0)
+	if err != nil {
+		return err
+	}
+	router, err := server.New(deployment, kept, unfinished, nil, clk, slog.New(slog.DiscardHandler))
 	took += time.Since(began)
 	if err != nil {
 		return err
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -18,6 +18,8 @@
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
 	"golang.org/x/sys/unix"
+
+	"pineport/clock"
 )
 
 // Handler is notified what happens on one connection; the calls never overlap, and Closed is the last.
@@ -284,7 +286,7 @@
 	if raw := c.open(); raw != nil {
 		at := time.Time{}
 		if after > 0 {
-			at = time.Now().Add(after)
+			at = clock.Instant().Add(after)
 		}
 		raw.SetReadDeadline(at)
 	}
