A state folder that fails for a while: changes are written later, refused messages are never owed

Cause: a change of a message that the folder did not take was logged and never written, so that what was over was owed after a restart; a compaction that failed behind a stored message had its client told BUSY; half an entry that could not be cut off hid what came behind it; a segment that could not be begun left no file to write to; a spool that could not be opened ended the process; an attempt that could not be stored counted as the destination's outage.

Notices of ends that are not stored wait, to their deadline at most; a message is called off towards its client only where the folder has it. A handoff waits until all is written; a start tries again.

--- /dev/null
+++ b/cmd/pineport/folder_test.go
@@ -0,0 +1,150 @@
+package main
+
+import (
+	"fmt"
+	"math/rand"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"pineport/testbed/scripted"
+	"pineport/testbed/syscallfault"
+)
+
+// writesToFolder are the calls by which a courier changes its state folder.
+var writesToFolder = []string{"write", "ftruncate", "fsync", "openat", "rename", "renameat", "renameat2", "unlinkat"}
+
+// changesFolder reports whether a call changes the state folder: it is no call for a socket, a pipe or the log.
+func (c *courier) changesFolder(call *syscallfault.Call) bool {
+	switch call.Name {
+	case "write", "ftruncate", "fsync":
+		return strings.HasPrefix(call.Target(), c.dir+"/state/")
+	case "openat":
+		return call.Flags&(os.O_CREATE|os.O_TRUNC) != 0
+	}
+	return true
+}
+
+// TestFolderFails: every write, sync, truncation and rename in the state folder fails for 3 s, or the writes fall short. Nobody is taken on
+// meanwhile, with a word when to come back; what was taken on goes on where it may run again, and ends once; after it all is as before, also
+// over a kill and a start.
+func TestFolderFails(t *testing.T) {
+	faults := map[string]syscallfault.Effect{"ENOSPC": {Errno: syscall.ENOSPC}, "EIO": {Errno: syscall.EIO}, "EDQUOT": {Errno: syscall.EDQUOT}, "short": {Limit: 3}}
+	var all sync.WaitGroup
+	for name, effect := range faults {
+		for _, killed := range []bool{false, true} {
+			all.Go(func() {
+				t.Run(fmt.Sprintf("%s, killed after %v", name, killed), func(t *testing.T) { playFolderFault(t, effect, killed) })
+			})
+		}
+	}
+	all.Wait()
+}
+
+func playFolderFault(t *testing.T, effect syscallfault.Effect, killed bool) {
+	const failing = 3 * time.Second
+	world, err := scripted.Open(2, func(string) scripted.Fate { return scripted.Fate{Status: 200, After: 30 * time.Millisecond} })
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(world.Close)
+	c := newCourier(t, world)
+	var until atomic.Int64
+	child := c.startTraced(writesToFolder, func(call *syscallfault.Call) syscallfault.Effect {
+		if time.Now().UnixNano() >= until.Load() || !c.changesFolder(call) || effect.Limit > 0 && call.Name != "write" {
+			return syscallfault.Effect{}
+		}
+		return effect
+	})
+	var before, during, after tally
+	submit := func(to *tally, client int, lasting time.Duration) {
+		var stopped atomic.Bool
+		var clients sync.WaitGroup
+		for n := range 3 {
+			clients.Go(func() { to.submitOver(c.listen, client+n, &stopped) })
+		}
+		time.Sleep(lasting)
+		stopped.Store(true)
+		clients.Wait()
+	}
+	submit(&before, 0, 500*time.Millisecond)
+	until.Store(time.Now().Add(failing).UnixNano())
+	submit(&during, 10, failing)
+	time.Sleep(300 * time.Millisecond)
+	if struck := child.Struck(); len(struck) == 0 {
+		t.Error("the fault never struck")
+	}
+	finished := append(before.finished(world), during.finished(world)...)
+	if killed {
+		child.Signal(syscall.SIGKILL)
+		<-child.Done
+		c.start()
+	}
+	submit(&after, 20, 800*time.Millisecond)
+	before.judge(t, world)
+	after.judge(t, world)
+	if effect.Errno != 0 && len(during.rejected) == 0 {
+		t.Errorf("nobody was refused while the folder failed: %d accepted", len(during.accepted))
+	}
+	for _, id := range during.rejected {
+		if began, _, _ := world.Seen(id); began > 0 {
+			t.Errorf("%s was refused, and ran", id)
+		}
+	}
+	for _, id := range finished { // Failure: ends that the folder did not take were never written, and what was over ran again after the kill
+		if began, _, _ := world.Seen(id); began > 1 {
+			t.Errorf("%s ran again after it was over", id)
+		}
+	}
+	if len(during.accepted) > 0 {
+		during.judge(t, world)
+	}
+	if lost := len(before.unanswered) + len(during.unanswered) + len(after.unanswered); lost > 0 {
+		t.Errorf("%d requests have no answer: %v %v %v", lost, before.unanswered, during.unanswered, after.unanswered)
+	}
+	if len(after.accepted) < 20 {
+		t.Errorf("%d accepted after the fault", len(after.accepted))
+	}
+}
+
+// TestKilledInTheMiddleOfAWrite: the process is killed after any number of bytes of a write to its folder, time after time. What was taken on
+// ends, once where it may not run again, and each start is ready.
+func TestKilledInTheMiddleOfAWrite(t *testing.T) {
+	const rounds = 12
+	world, err := scripted.Open(2, func(string) scripted.Fate { return scripted.Fate{Status: 200, After: 30 * time.Millisecond} })
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(world.Close)
+	c := newCourier(t, world)
+	rng := rand.New(rand.NewSource(1))
+	var requests tally
+	for round := range rounds {
+		at, limit := int64(20+rng.Intn(200)), 1+rng.Intn(150)
+		var writes atomic.Int64
+		child := c.startTraced([]string{"write"}, func(call *syscallfault.Call) syscallfault.Effect {
+			if !c.changesFolder(call) || writes.Add(1) != at {
+				return syscallfault.Effect{}
+			}
+			return syscallfault.Effect{Limit: limit, Kill: true}
+		})
+		var stopped atomic.Bool
+		var clients sync.WaitGroup
+		for n := range 3 {
+			clients.Go(func() { requests.submitOver(c.listen, 100*round+n, &stopped) })
+		}
+		select {
+		case <-child.Done:
+		case <-time.After(10 * time.Second):
+			t.Fatalf("round %d: not killed after %d writes", round, writes.Load())
+		}
+		stopped.Store(true)
+		clients.Wait()
+	}
+	c.start()
+	requests.judge(t, world)
+}
--- a/cmd/pineport/run.go
+++ b/cmd/pineport/run.go
@@ -133,9 +133,9 @@
 	}
 	defer folder.Close()
 	snapshot.Sweep(dep.Spool) // before the spool takes that room
-	kept, unfinished, faults, err := spool.Open(dep.Spool, server.SpoolLimit(dep))
-	if err != nil {
-		return fmt.Errorf("RELAY_STATE: %w", err)
+	kept, unfinished, faults, err := p.openSpool(ctx)
+	if err != nil || ctx.Err() != nil {
+		return err
 	}
 	for _, fault := range faults {
 		log.With(logging.Component, "spool").Warn("spool error", "error", fault)
@@ -206,6 +206,26 @@
 	return latest
 }
 
+// openRetry is how often it is tried to open the spool, where the folder fails.
+const openRetry = 100 * time.Millisecond
+
+// openSpool opens the spool, as often as it takes: what was taken on is still owed, and a process that ends helps nobody. A folder that is not
+// there is another matter, which the configuration's check has reported.
+func (p *process) openSpool(ctx context.Context) (kept *spool.Spool, unfinished []*spool.Message, faults []error, err error) {
+	for {
+		kept, unfinished, faults, err = spool.Open(p.dep.Spool, server.SpoolLimit(p.dep))
+		if err == nil {
+			return kept, unfinished, faults, nil
+		}
+		p.log.With(logging.Component, "spool").Error("spool error", "error", err)
+		select {
+		case <-ctx.Done():
+			return nil, nil, nil, nil
+		case <-time.After(openRetry):
+		}
+	}
+}
+
 // attach joins a new event loop with the parts of the process that outlast it; given is what a predecessor handed over, or nil.
 func (p *process) attach(router *server.Server, given *handoff.State) {
 	dep, log := p.dep, p.log
--- a/cmd/pineport/syscalls_test.go
+++ b/cmd/pineport/syscalls_test.go
@@ -82,7 +82,7 @@
 type tally struct {
 	mu         sync.Mutex
 	accepted   []string
-	rejected   int
+	rejected   []string
 	unanswered []string // with what came instead
 }
 
@@ -128,7 +128,7 @@
 	case reply == "+OK":
 		l.accepted = append(l.accepted, id)
 	default:
-		l.rejected++
+		l.rejected = append(l.rejected, id)
 	}
 }
 
@@ -205,11 +205,21 @@
 	}
 	requests.judge(t, world)
 	if fault.harmless && len(requests.unanswered) > 0 {
-		t.Errorf("of %d requests have no answer: %v", len(requests.accepted)+requests.rejected+len(requests.unanswered), requests.unanswered)
+		t.Errorf("of %d requests have no answer: %v", len(requests.accepted)+len(requests.rejected)+len(requests.unanswered), requests.unanswered)
 	}
 	waitFor(t, fmt.Sprintf("%d descriptors as before", before), 8*time.Second, func() bool { return countDescriptors(child.PID) <= before+4 })
 }
 
+// finished returns what has been delivered by now.
+func (l *tally) finished(world *scripted.World) (ids []string) {
+	for _, id := range l.accepted {
+		if _, done, _ := world.Seen(id); done > 0 {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // judge waits until all that was accepted has ended, and looks at how.
 func (l *tally) judge(t *testing.T, world *scripted.World) {
 	t.Helper()
--- a/server/calls.go
+++ b/server/calls.go
@@ -117,7 +117,9 @@
 	for _, attempt := range call.attempts {
 		if err := s.noteAttempt(attempt, ""); err != nil {
 			s.logSpoolError(err)
-			return err // so not sent: a restart would not know of it
+			if !s.isIdempotent(attempt.message) {
+				return endpointconn.ErrNotStored // so not sent: a restart would not know of it
+			}
 		}
 		items = append(items, protocol.Item{ID: attempt.message.stored.ID, Mark: attempt.message.stored.IdempotencyKey, Body: attempt.message.stored.Body})
 	}
--- a/server/clients.go
+++ b/server/clients.go
@@ -165,6 +165,9 @@
 	return false
 }
 
+// folderRetryMs is when clients may come again while the folder fails.
+const folderRetryMs = 1000
+
 // acceptMessage stores a message and hands it to the dispatcher.
 func (s *Server) acceptMessage(request protocol.Enqueue, reply *reply) {
 	stored := &spool.Message{ID: request.ID, Class: request.Class, Destination: request.Dest, Tenant: request.Tenant, OrderingKey: request.Key,
@@ -174,6 +177,9 @@
 			s.logSpoolError(err)
 		}
 		reply.text = protocol.ReplyBusy(0)
+		if errors.Is(err, spool.ErrBehind) {
+			reply.text = protocol.ReplyBusy(folderRetryMs)
+		}
 		s.count(stored.Class, rejected)
 		return
 	}
--- a/server/discovery.go
+++ b/server/discovery.go
@@ -244,12 +244,20 @@
 	}
 	if len(p.calls) < maxNoticeCalls {
 		for _, other := range p.notices {
-			at = min(at, max(other.next, p.callAt))
+			if !p.mustWait(other) {
+				at = min(at, max(other.next, p.callAt))
+			}
 		}
 	}
 	return at
 }
 
+// mustWait reports whether the end that a notice tells is not in the folder yet: a restart would take the message up again, and it could run
+// after its end was told. Past its deadline it would not.
+func (p *discovery) mustWait(n *notice) bool {
+	return p.server.spool.IsBehind(n.notice.ID) && p.server.now < n.until-noticeLifetime
+}
+
 // tick does what is due.
 func (p *discovery) tick() {
 	now := p.server.now
@@ -283,7 +291,7 @@
 	call := &noticeCall{timeoutAt: p.server.now + noticeTimeout}
 	var notices []protocol.Notice
 	for _, other := range p.notices {
-		if other.next <= p.server.now && len(notices) < maxNoticesPerCall {
+		if other.next <= p.server.now && len(notices) < maxNoticesPerCall && !p.mustWait(other) {
 			other.next = p.server.now + noticeBackoff<<min(other.attempts, 3)
 			other.attempts++
 			call.notices, notices = append(call.notices, other), append(notices, other.notice)
--- a/server/endpointconn/conn.go
+++ b/server/endpointconn/conn.go
@@ -26,6 +26,9 @@
 	// may be sent there.
 	ErrOvertaken = errors.New("overtaken by a drain or a wait")
 
+	// ErrNotStored ends an exchange that could not be stored, and was not sent.
+	ErrNotStored = errors.New("the state folder fails")
+
 	errNoDescriptor   = errors.New("no descriptor left")
 	errClosedRemotely = errors.New("closed by the other side")
 )
--- a/server/endpointconn/exchange.go
+++ b/server/endpointconn/exchange.go
@@ -76,7 +76,7 @@
 }
 
 // localErrors are what the system says where this machine is short of something, or has no way out: they say nothing of the other side.
-var localErrors = []error{errNoDescriptor, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL, syscall.ENETUNREACH,
+var localErrors = []error{errNoDescriptor, ErrNotStored, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL, syscall.ENETUNREACH,
 	syscall.ENETDOWN, syscall.EAGAIN}
 
 // IsLocal reports whether an exchange failed on this machine, before its last byte was out.
--- a/server/handoff.go
+++ b/server/handoff.go
@@ -91,7 +91,7 @@
 
 // handOver hands all to the successor, at one instant: what came before it is decided here, what comes later by the successor.
 func (u *handoffState) handOver() {
-	if !u.requested {
+	if !u.requested || u.server.spool.Flush() != nil { // the folder does not hold all: later
 		return
 	}
 	u.requested, u.handingOver = false, true
--- a/server/message.go
+++ b/server/message.go
@@ -42,6 +42,12 @@
 	return false
 }
 
+// isIdempotent reports whether a message may run any number of times.
+func (s *Server) isIdempotent(message *message) bool {
+	class := slices.Index(s.deployment.Classes, message.stored.Class)
+	return class >= 0 && s.deployment.Dispatch.Classes[class].Idempotency == dispatch.Idempotent
+}
+
 // mayHaveRun reports whether an attempt with that outcome may have taken effect.
 func mayHaveRun(outcome dispatch.Outcome) bool {
 	return outcome != dispatch.Throttled && outcome != dispatch.Unreachable && outcome != dispatch.Unprocessed
@@ -102,11 +108,12 @@
 	message.ended = true
 	s.counters.ended()
 	s.count(message.stored.Class, how.kind)
-	if len(message.waiting) > 0 {
+	// A client hears that a message was not taken on only once the folder does not hold it: else it would be owed after a restart, and run
+	// twice where its client submits it again. Where the folder fails, the message is taken on and then ends by a notice.
+	if len(message.waiting) > 0 && s.discard(message) {
 		for _, rep := range message.waiting {
 			rep.text = how.reply
 		}
-		s.logSpoolError(s.spool.Forget(message.stored.ID))
 	} else {
 		s.finished.add(message, s.now)
 		s.logSpoolError(s.spool.Finish(message.stored.ID, how.stored, how.retryAfterMs))
@@ -115,6 +122,13 @@
 	s.forget(message)
 }
 
+// discard reports whether the folder has taken in that a message is not owed.
+func (s *Server) discard(message *message) bool {
+	err := s.spool.Discard(message.stored.ID)
+	s.logSpoolError(err)
+	return err == nil
+}
+
 // finish ends a message for which nothing more is owed.
 func (s *Server) finish(message *message) {
 	if !message.ended {
--- a/server/server.go
+++ b/server/server.go
@@ -75,6 +75,7 @@
 	demands            atomic.Pointer[[]dispatch.Demand]
 	demandsAt          dispatch.Micros
 	grantedUntil       dispatch.Micros // until then an earlier start may have granted half of each part
+	spoolRetryAt       dispatch.Micros
 	shutdownBy         dispatch.Micros
 	exiting            bool
 	exitBy             dispatch.Micros // while leaving: until then at the latest
@@ -189,6 +190,27 @@
 	return dispatch.Micros(s.courierClock.Now())
 }
 
+// spoolRetryInterval is how often it is tried to write what the folder did not take.
+const spoolRetryInterval = 100 * 1000
+
+// spoolDue returns when the folder is tried again.
+func (s *Server) spoolDue() dispatch.Micros {
+	if s.spool.Behind() {
+		return s.spoolRetryAt
+	}
+	return never
+}
+
+// flushSpool writes what the folder did not take, now and then.
+func (s *Server) flushSpool() {
+	s.logSpoolError(s.spool.TakeFault())
+	if !s.spool.Behind() || s.now < s.spoolRetryAt {
+		return
+	}
+	s.spoolRetryAt = s.now + spoolRetryInterval
+	s.logSpoolError(s.spool.Flush())
+}
+
 // logSpoolError logs what could not be written to the spool; the loop goes on with what is in memory.
 func (s *Server) logSpoolError(err error) {
 	if err != nil {
--- a/server/step.go
+++ b/server/step.go
@@ -9,7 +9,7 @@
 
 // due returns when the next step is due without an event.
 func (s *Server) due() dispatch.Micros {
-	at := min(s.timerAt, s.endpointConns.Due(), s.clients.Due(), s.discovery.due(), s.snapshots.due(), s.operators.due(), s.shutdownBy, s.drainAt)
+	at := min(s.timerAt, s.endpointConns.Due(), s.clients.Due(), s.discovery.due(), s.snapshots.due(), s.spoolDue(), s.operators.due(), s.shutdownBy, s.drainAt)
 	for _, attempt := range s.inFlight {
 		at = min(at, attempt.waitUntil)
 	}
@@ -59,6 +59,7 @@
 		s.carryOut(s.decide(events))
 	}
 	s.reply()
+	s.flushSpool()
 	s.discovery.tick()
 	s.saveSnapshot(false)
 	s.publishDemands()
--- a/spool/segment.go
+++ b/spool/segment.go
@@ -54,18 +54,18 @@
 
 // startSegment starts a new segment.
 func (s *Spool) startSegment(number int) error {
-	if s.file != nil {
-		s.file.Close()
-	}
-	f, err := os.OpenFile(s.path(number), os.O_CREATE|os.O_WRONLY|os.O_APPEND|os.O_TRUNC, 0o600)
+	f, err := s.create(s.path(number))
 	if err != nil {
 		return err
 	}
-	if _, err := f.WriteString(magic); err != nil {
+	if _, err := f.Write([]byte(magic)); err != nil {
 		f.Close()
-		return err
+		return err // the next try starts the same one anew
 	}
-	s.file = f
+	if s.file != nil {
+		s.file.Close()
+	}
+	s.file, s.torn = f, false
 	s.segments = append(s.segments, &segment{number: number, size: int64(len(magic)), live: map[string]int64{}})
 	return nil
 }
@@ -134,8 +134,12 @@
 	}
 }
 
-// write appends one entry, in a new segment if this one is full.
+// write appends one entry, in a new segment if this one is full. Failure: half an entry was written and could not be cut off, and hid all
+// that was appended behind it at the next start. Nothing is appended before it is cut off, or where that fails too, in this segment.
 func (s *Spool) write(body []byte) error {
+	if err := s.cutTorn(); err != nil {
+		return err
+	}
 	last := s.segments[len(s.segments)-1]
 	if last.size > int64(len(magic)) && last.size+int64(len(body)+overhead) > s.segmentSize {
 		if err := s.startSegment(last.number + 1); err != nil {
@@ -145,16 +149,38 @@
 	}
 	s.scratch = frame(s.scratch[:0], body)
 	n, err := s.file.Write(s.scratch)
+	if err == nil && n < len(s.scratch) {
+		err = io.ErrShortWrite
+	}
+	if err != nil {
+		s.torn = n > 0
+		return errors.Join(err, s.cutTorn())
+	}
 	last.size += int64(n)
-	if err != nil && n > 0 { // half an entry would hide all that follows it
-		last.size -= int64(n)
-		if cut := s.file.Truncate(last.size); cut != nil {
-			err = errors.Join(err, cut)
-		}
+	return nil
+}
+
+// cutTorn cuts half an entry off the segment that is written to, or, where that fails time after time, starts another one.
+func (s *Spool) cutTorn() error {
+	if !s.torn {
+		return nil
 	}
-	return err
+	last := s.segments[len(s.segments)-1]
+	err := s.file.Truncate(last.size)
+	if err == nil {
+		s.torn, s.cutsFailed = false, 0
+		return nil
+	}
+	if s.cutsFailed++; s.cutsFailed < maxCuts {
+		return err
+	}
+	return s.startSegment(last.number + 1)
 }
 
+// maxCuts is how often it is tried to cut half an entry off a segment. What is in the folder of messages that are known there counts as perhaps
+// sent after a restart, where a segment before the last has such an end.
+const maxCuts = 5
+
 // Size returns the bytes of the folder, each file counted in whole blocks.
 func (s *Spool) Size() int64 {
 	total := int64(0)
@@ -185,7 +211,7 @@
 			}
 			s.index(entry.message, s.segments[len(s.segments)-1], int64(len(body)+overhead))
 		}
-		if err := os.Remove(s.path(oldest.number)); err != nil {
+		if err := s.remove(s.path(oldest.number)); err != nil {
 			return err
 		}
 		s.segments = s.segments[1:]
--- a/spool/spool.go
+++ b/spool/spool.go
@@ -68,7 +68,13 @@
 	dir         string
 	limit       int64
 	segmentSize int64
-	file        *os.File
+	file        segmentFile
+	create      func(path string) (segmentFile, error)
+	remove      func(path string) error
+	torn        bool // half an entry stands at the end of the file
+	cutsFailed  int  // in a row
+	backlog     backlog
+	fault       error      // of a compaction, that nobody has asked for yet
 	segments    []*segment // oldest first; the last is written to
 	entries     map[string]*entry
 	live        int64 // bytes that compaction would leave
@@ -90,7 +96,8 @@
 // Open reads a folder and returns the unfinished messages in it, in the order of acceptance; faults are entries that were
 // dropped. limit is the most that the folder may ever hold, in bytes.
 func Open(dir string, limit int64) (s *Spool, unfinished []*Message, faults []error, err error) {
-	s = &Spool{dir: dir, limit: limit, segmentSize: max(limit/segmentsPerFolder/block*block, 4*block), entries: map[string]*entry{}}
+	s = &Spool{dir: dir, limit: limit, segmentSize: max(limit/segmentsPerFolder/block*block, 4*block), entries: map[string]*entry{},
+		create: createSegment, remove: os.Remove, backlog: backlog{ids: map[string]bool{}}}
 	unfinished, faults, next, err := s.load()
 	if err != nil {
 		return nil, nil, nil, err
@@ -98,7 +105,8 @@
 	if err := s.startSegment(next); err != nil {
 		return nil, nil, faults, err
 	}
-	return s, unfinished, faults, s.compact()
+	s.compactNow()
+	return s, unfinished, faults, nil
 }
 
 // index notes where the last whole entry of a message is.
@@ -119,26 +127,53 @@
 	}
 }
 
-// Append stores a message and sets its number. After ErrFull nothing of it is stored.
+// Append stores a message and sets its number. After an error nothing of it is stored.
 func (s *Spool) Append(message *Message) error {
 	if s.entries[message.ID] != nil {
 		return fmt.Errorf("spool: %s is there already", message.ID)
 	}
+	if err := s.Flush(); err != nil {
+		return err
+	}
 	message.Number = s.lastNumber + 1
 	body := s.encode(message)
 	// Half of the folder is for what is live: the rest is for garbage that is not removed yet, and for compaction.
-	if size := int64(len(body) + overhead); s.live+size+1024 > s.limit/2 || size > 2*s.segmentSize {
+	size := int64(len(body) + overhead)
+	if s.live+size+1024 > s.limit/2 || size > 2*s.segmentSize {
 		return ErrFull
 	}
+	if !s.hasRoom(size) { // an earlier compaction failed
+		if s.compactNow(); !s.hasRoom(size) {
+			return ErrFull
+		}
+	}
 	if err := s.write(body); err != nil {
 		return err
 	}
 	s.lastNumber = message.Number
-	s.index(message, s.segments[len(s.segments)-1], int64(len(body)+overhead))
-	return s.compact()
+	s.index(message, s.segments[len(s.segments)-1], size)
+	s.compactNow() // Failure: a message was in the folder, a compaction behind it failed, and its client heard that it was not taken on
+	return nil
+}
+
+// hasRoom reports whether an entry fits, and a segment for the next compaction.
+func (s *Spool) hasRoom(size int64) bool { return s.Size()+size+s.segmentSize <= s.limit }
+
+// compactNow compacts; where that fails the folder holds more than it has to, and it is tried again behind the next entry.
+func (s *Spool) compactNow() {
+	if err := s.compact(); err != nil {
+		s.fault = err
+	}
+}
+
+// TakeFault returns a fault of a compaction, once.
+func (s *Spool) TakeFault() error {
+	fault := s.fault
+	s.fault = nil
+	return fault
 }
 
-// BeginAttempt stores an attempt before it is sent; a message that is not held is ignored.
+// BeginAttempt stores an attempt before it is sent; a message that is not held is ignored. After ErrBehind a restart would not know of it.
 func (s *Spool) BeginAttempt(id string, t Attempt) error {
 	if entry := s.entries[id]; entry != nil {
 		entry.message.Attempts = append(entry.message.Attempts, t)
@@ -165,6 +200,22 @@
 	return nil
 }
 
+// Discard stores that nothing is owed for a message, or fails and changes nothing.
+func (s *Spool) Discard(id string) error {
+	if s.entries[id] == nil {
+		return nil
+	}
+	if err := s.Flush(); err != nil {
+		return err
+	}
+	if err := s.write(encodeUpdate(kindForgotten, update{ID: id})); err != nil {
+		return errors.Join(ErrBehind, err)
+	}
+	s.forget(id)
+	s.compactNow()
+	return nil
+}
+
 // Forget stores that nothing more is owed for a message.
 func (s *Spool) Forget(id string) error {
 	if s.entries[id] == nil {
@@ -174,16 +225,28 @@
 	return s.writeUpdate(kindForgotten, update{ID: id})
 }
 
+// writeUpdate writes a change that is in memory already. Failure: one that the folder did not take was never written again, and a message
+// that was over was owed after a restart.
 func (s *Spool) writeUpdate(kind byte, update update) error {
-	head, _ := json.Marshal(update) // strings and numbers: it cannot fail
-	if err := s.write(append([]byte{kind}, head...)); err != nil {
-		return err
+	if s.Behind() {
+		s.backlog.add(update.ID)
+		return s.Flush()
+	}
+	if err := s.write(encodeUpdate(kind, update)); err != nil {
+		s.backlog.add(update.ID)
+		return errors.Join(ErrBehind, err)
 	}
-	return s.compact()
+	s.compactNow()
+	return nil
+}
+
+func encodeUpdate(kind byte, update update) []byte {
+	head, _ := json.Marshal(update) // strings and numbers: it cannot fail
+	return append([]byte{kind}, head...)
 }
 
-// Close closes the segment that is written to; all entries are in the files already.
-func (s *Spool) Close() error { return s.file.Close() }
+// Close closes the segment that is written to, after what is in memory alone was tried once more.
+func (s *Spool) Close() error { return errors.Join(s.Flush(), s.file.Close()) }
 
 // Resize sets the most that the folder may hold, in bytes. Nothing that is held is dropped for a lower limit: no message is
 // accepted until what is live fits again.
--- a/testbed/syscallfault/call.go
+++ b/testbed/syscallfault/call.go
@@ -24,6 +24,8 @@
 	PID  int
 	FD   int // its first argument, where that is a descriptor
 	Size int // its third argument, where that is a number of bytes
+	// Flags is its third argument too, of openat.
+	Flags int
 
 	effect Effect
 }
--- a/testbed/syscallfault/process.go
+++ b/testbed/syscallfault/process.go
@@ -147,7 +147,7 @@
 	if !ok {
 		return
 	}
-	call := &Call{Name: name, PID: p.PID, FD: int(int32(registers.Rdi)), Size: int(registers.Rdx)}
+	call := &Call{Name: name, PID: p.PID, FD: int(int32(registers.Rdi)), Size: int(registers.Rdx), Flags: int(registers.Rdx)}
 	if call.effect = p.decide(call); call.effect == (Effect{}) {
 		return
 	}
