--- a/cmd/pineport-testbed/main.go
+++ b/cmd/pineport-testbed/main.go
@@ -47,6 +47,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	cmd.AddCommand(demoCmd(), playCmd(), serveCmd(), sendCmd(), reportCmd(), checkCmd(), compareCmd(), daysCmd(), formatCmd(), fleetCmd(), scaleCmd(), capacityCmd())
+	cmd.AddCommand(demoCmd(), playCmd(), serveCmd(), sendCmd(), reportCmd(), checkCmd(), compareCmd(), daysCmd(), formatCmd(), fleetCmd(), scaleCmd(), capacityCmd(), soakCmd())
 	return cmd
 }
