A predecessor at rest takes no processor time; a soak keeps its results where a folder cannot be removed yet

Cause: after a handoff the predecessor's dispatcher is not asked any more, but its timer stayed due, and the loop went round without a pause until the process was told to end. Seen: six processes left by a test at 93 % of a core each for half an hour; their goroutines stood in step.

Change: the timer ends with the handoff. Plays remove their folders after their process has ended.

--- a/cmd/pineport/upgrade_test.go
+++ b/cmd/pineport/upgrade_test.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"runtime"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -458,3 +459,58 @@
 		t.Error("the courier handed all over to a process that cannot listen")
 	}
 }
+
+// TestBothProcessesOfAnUpgradeRest: after a handoff, neither the predecessor, which nobody has told to end yet, nor its successor takes much
+// processor time. Failure: the predecessor kept a timer that it does not serve any more, and its loop went round without a pause.
+func TestBothProcessesOfAnUpgradeRest(t *testing.T) {
+	world, err := scripted.Open(1, func(string) scripted.Fate { return scripted.Fate{Status: 429, WaitMs: 1900} })
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(world.Close)
+	p := newPlatform(t, world)
+	first := p.begin(p.binary)
+	p.must(first)
+	for n := range 12 { // they wait, and the dispatcher has a timer for them
+		if got := p.ask(enqueue(fmt.Sprintf("waits-%d", n), "update", 30000)); got[0] != "+OK" {
+			t.Fatal(got)
+		}
+	}
+	next := p.begin(p.binary)
+	p.must(next)
+	waitFor(t, "a handoff", 5*time.Second, func() bool { return strings.Contains(p.said(), "successor is serving") })
+	time.Sleep(time.Second)
+	processes := map[string]int{"predecessor": first.cmd.Process.Pid, "successor": next.cmd.Process.Pid}
+	before := map[string]time.Duration{}
+	for name, pid := range processes {
+		before[name] = processorTime(t, pid)
+	}
+	time.Sleep(2 * time.Second)
+	for name, pid := range processes {
+		if took := processorTime(t, pid) - before[name]; took > 400*time.Millisecond {
+			t.Errorf("%s: %v of processor time in 2 s of rest: a loop spins", name, took)
+		}
+	}
+	p.leave(first)
+	p.leave(next)
+	p.ended.Wait()
+}
+
+// processorTime returns what a process has used.
+func processorTime(t *testing.T, pid int) time.Duration {
+	t.Helper()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	fields := strings.Fields(string(text)[strings.LastIndex(string(text), ")")+2:])
+	total := 0
+	for _, field := range fields[11:13] { // of the user and of the system, in hundredths of a second
+		n, err := strconv.Atoi(field)
+		if err != nil {
+			t.Fatal(err)
+		}
+		total += n
+	}
+	return time.Duration(total) * 10 * time.Millisecond
+}
--- a/server/handoff.go
+++ b/server/handoff.go
@@ -111,6 +111,7 @@
 	u.withdrawUnsent()
 	state := u.state()
 	u.handedOver, u.snapshotAtHandoff = true, state.Snapshot
+	r.timerAt = never // Failure: the dispatcher is not asked any more, and its timer had the loop go round without a pause
 	r.operators.writer.Stop()
 	r.operators.drainAt = r.now
 	if r.snapshots.writer != nil {
--- a/testbed/soak/play.go
+++ b/testbed/soak/play.go
@@ -79,8 +79,17 @@
 
 // Play plays one seed. An error says that the play could not be set up.
 func Play(ctx context.Context, o Options) (*Result, error) {
+	folder := filepath.Join(o.Dir, fmt.Sprintf("seed-%d", o.Seed))
+	r, err := playIn(ctx, folder, o)
+	if err != nil || len(r.Breaches) > 0 {
+		return r, err
+	}
+	return r, os.RemoveAll(folder) // now that its process has ended
+}
+
+func playIn(ctx context.Context, folder string, o Options) (*Result, error) {
 	rng := rand.New(rand.NewSource(o.Seed))
-	p := &play{options: o, plan: draw(rng, o.Length), struck: map[string]int{}, folder: filepath.Join(o.Dir, fmt.Sprintf("seed-%d", o.Seed))}
+	p := &play{options: o, plan: draw(rng, o.Length), struck: map[string]int{}, folder: folder}
 	if err := p.open(rng.Int63()); err != nil {
 		return nil, err
 	}
@@ -401,7 +410,7 @@
 	timeline := strings.Join(p.timeline, "\n")
 	p.mu.Unlock()
 	if len(r.Breaches) == 0 {
-		return r, os.RemoveAll(p.folder)
+		return r, nil
 	}
 	r.Folder = p.folder
 	for _, call := range p.proxy.Calls() {
