A process that is started while no socket can be had is ready once it can

Cause: listening failed with EMFILE at a start, and the process ended; what it had taken on waited for the next start.

--- a/cmd/pineport/run.go
+++ b/cmd/pineport/run.go
@@ -58,7 +58,7 @@
 	}
 	var desk *admin.Server
 	if dep.Ops != "" { // answers from the start: with no, until there is an event loop
-		if desk, err = admin.Open(dep.Ops, server.AdminSockets(dep)-2, log.With(logging.Component, "ops")); err != nil {
+		if desk, err = openDesk(dep, log); err != nil {
 			return fmt.Errorf("ops: %w", err)
 		}
 		defer desk.Close()
@@ -80,6 +80,18 @@
 	}
 }
 
+// openDesk listens for operators, as often as it takes where this machine is short of something.
+func openDesk(dep *config.Deployment, log *logging.Log) (*admin.Server, error) {
+	for {
+		desk, err := admin.Open(dep.Ops, server.AdminSockets(dep)-2, log.With(logging.Component, "ops"))
+		if !transport.IsShortage(err) {
+			return desk, err
+		}
+		log.Warn("not listening yet", "error", err)
+		time.Sleep(openRetry)
+	}
+}
+
 // process is what lasts while one event loop follows another.
 type process struct {
 	sources config.Sources
--- a/cmd/pineport/syscalls_test.go
+++ b/cmd/pineport/syscalls_test.go
@@ -20,6 +20,14 @@
 
 // startTraced starts the courier with its system calls led through package syscallfault.
 func (c *courier) startTraced(names []string, decide func(*syscallfault.Call) syscallfault.Effect) *syscallfault.Process {
+	c.t.Helper()
+	child := c.beginTraced(names, decide)
+	waitFor(c.t, "PONG", 10*time.Second, func() bool { return c.answersPing() })
+	return child
+}
+
+// beginTraced is startTraced that does not wait until the courier answers.
+func (c *courier) beginTraced(names []string, decide func(*syscallfault.Call) syscallfault.Effect) *syscallfault.Process {
 	c.t.Helper()
 	env := append(os.Environ(), "RELAY_CONFIG="+filepath.Join(c.dir, "config.json"), "RELAY_STATE="+filepath.Join(c.dir, "state"), "RELAY_OPS="+c.ops)
 	child, err := syscallfault.Start(c.binary, append(env, c.env...), c.log, names, decide)
@@ -33,7 +41,6 @@
 			c.t.Log(c.said())
 		}
 	})
-	waitFor(c.t, "PONG", 10*time.Second, func() bool { return c.answersPing() })
 	return child
 }
 
@@ -253,3 +260,35 @@
 	}
 	return len(entries)
 }
+
+// TestStartsWhileSocketsFail: a process that is started while no socket can be had is ready once it can, and delivers what it is given.
+func TestStartsWhileSocketsFail(t *testing.T) {
+	const failing = 1500 * time.Millisecond
+	for _, errno := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM} {
+		t.Run(errno.Error(), func(t *testing.T) {
+			t.Parallel()
+			world, err := scripted.Open(1, func(string) scripted.Fate { return scripted.Fate{Status: 200} })
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(world.Close)
+			c := newCourier(t, world)
+			c.ops = freePort(t)
+			until := time.Now().Add(failing)
+			child := c.beginTraced([]string{"socket"}, func(*syscallfault.Call) syscallfault.Effect {
+				if time.Now().After(until) {
+					return syscallfault.Effect{}
+				}
+				return syscallfault.Effect{Errno: errno}
+			})
+			waitFor(t, "PONG", failing+3*time.Second, func() bool { return c.answersPing() })
+			if len(child.Struck()) == 0 {
+				t.Error("the fault never struck")
+			}
+			if got := c.ask(enqueue("one", "order", 4000)); got[0] != "+OK" {
+				t.Fatal(got)
+			}
+			waitFor(t, "the delivery", 3*time.Second, func() bool { _, done, _ := world.Seen("one"); return done == 1 })
+		})
+	}
+}
--- a/server/server.go
+++ b/server/server.go
@@ -125,7 +125,7 @@
 // Run listens and works until stop is closed, and then for as long as grace allows. Configurations from reloads are taken over as far as a
 // running process can.
 func (s *Server) Run(stop <-chan struct{}, reloads <-chan *config.Deployment, grace time.Duration) error {
-	if err := s.startServing(); err != nil {
+	if err := s.startServing(stop); err != nil {
 		return err
 	}
 	timer := time.NewTimer(0)
@@ -159,9 +159,22 @@
 	}
 }
 
-// startServing listens, and takes the first step, over what the loop was started with.
-func (s *Server) startServing() error {
+// listenRetry is how often it is tried to listen, where this machine is short of something.
+const listenRetry = 50 * time.Millisecond
+
+// startServing listens, and takes the first step, over what the loop was started with. Failure: a process that was started while no descriptor
+// could be had ended, and what it had taken on waited for the next start.
+func (s *Server) startServing(stop <-chan struct{}) error {
 	driver, err := s.openDriver()
+	for transport.IsShortage(err) {
+		s.log.Warn("not listening yet", "error", err)
+		select {
+		case <-stop:
+			return err
+		case <-time.After(listenRetry):
+		}
+		driver, err = s.openDriver()
+	}
 	if err != nil {
 		return err
 	}
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -75,6 +75,16 @@
 	return net.FileListener(f)
 }
 
+// IsShortage reports whether a call failed as this machine is short of something, which it may have again in a moment.
+func IsShortage(err error) bool {
+	for _, shortage := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EINTR} {
+		if errors.Is(err, shortage) {
+			return true
+		}
+	}
+	return false
+}
+
 // Open starts a driver that takes clients on a listener, or where that is nil listens on addr, and makes a Handler for each connection that comes in
 // and is admitted.
 func Open(addr string, inherited net.Listener, sockets int, log *slog.Logger, admit func() bool, accept func() Handler) (*Driver, error) {
