A process that is started while its folder fails is ready once it does not

Cause: opening the folder's lock failed with ENOSPC or EIO at a start, and the process ended; what it had taken on was owed by nobody until the next start.

Change: the folder is asked for again each 0.1 s while it, or this machine, fails.

--- a/cmd/pineport/folder_test.go
+++ b/cmd/pineport/folder_test.go
@@ -148,3 +148,34 @@
 	c.start()
 	requests.judge(t, world)
 }
+
+// TestStartsWhileFolderFails: a process that is started while its folder takes nothing is ready once it does. Failure, found by the soak: it ended.
+func TestStartsWhileFolderFails(t *testing.T) {
+	const failing = 1500 * time.Millisecond
+	for _, errno := range []syscall.Errno{syscall.ENOSPC, syscall.EIO} {
+		t.Run(errno.Error(), func(t *testing.T) {
+			t.Parallel()
+			world, err := scripted.Open(1, func(string) scripted.Fate { return scripted.Fate{Status: 200} })
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(world.Close)
+			c := newCourier(t, world)
+			until := time.Now().Add(failing)
+			child := c.beginTraced(writesToFolder, func(call *syscallfault.Call) syscallfault.Effect {
+				if time.Now().After(until) || !c.changesFolder(call) {
+					return syscallfault.Effect{}
+				}
+				return syscallfault.Effect{Errno: errno}
+			})
+			waitFor(t, "PONG", failing+3*time.Second, func() bool { return c.answersPing() })
+			if len(child.Struck()) == 0 {
+				t.Error("the fault never struck")
+			}
+			if got := c.ask(enqueue("one", "order", 4000)); got[0] != "+OK" {
+				t.Fatal(got)
+			}
+			waitFor(t, "the delivery", 3*time.Second, func() bool { _, done, _ := world.Seen("one"); return done == 1 })
+		})
+	}
+}
--- a/cmd/pineport/run.go
+++ b/cmd/pineport/run.go
@@ -137,6 +137,11 @@
 		}
 	}()
 	folder, given, predecessor, err := handoff.Acquire(ctx, dep.Spool, dep.Name, log.With(logging.Component, "handover"))
+	for err != nil && isFailing(err) && ctx.Err() == nil { // found by the soak: a start while the folder failed ended the process
+		log.Error("spool error", logging.Component, "spool", "error", err)
+		time.Sleep(openRetry)
+		folder, given, predecessor, err = handoff.Acquire(ctx, dep.Spool, dep.Name, log.With(logging.Component, "handover"))
+	}
 	if ctx.Err() != nil {
 		return nil // asked to exit before there was anything to do
 	}
@@ -221,6 +226,16 @@
 // openRetry is how often it is tried to open the spool, where the folder fails.
 const openRetry = 100 * time.Millisecond
 
+// isFailing reports whether the folder, or this machine, fails for a while, rather than being set up wrongly.
+func isFailing(err error) bool {
+	for _, failing := range []error{syscall.ENOSPC, syscall.EIO, syscall.EDQUOT} {
+		if errors.Is(err, failing) {
+			return true
+		}
+	}
+	return transport.IsShortage(err)
+}
+
 // openSpool opens the spool, as often as it takes: what was taken on is still owed, and a process that ends helps nobody. A folder that is not
 // there is another matter, which the configuration's check has reported.
 func (p *process) openSpool(ctx context.Context) (kept *spool.Spool, unfinished []*spool.Message, faults []error, err error) {
