--- a/review/standin/discovery.go
+++ b/review/standin/discovery.go
@@ -29,17 +29,14 @@
 	Hosts []host `json:"hosts"`
 }
 
-// discovery serves the endpoint list with watches, and takes notices. Each answer with a list takes listDelay.
+// discovery serves an endpoint list that does not change, and takes notices. A watch ends without changes when its wait is over. Each
+// answer with a list takes listDelay.
 type discovery struct {
 	record  *record
-	address string
+	address string // where the courier reaches it
+	list    hostList
 
 	mu      sync.Mutex
-	seq     int
-	hosts   []host
-	changes []hostList // one list for each version, in order
-	changed chan struct{}
-	told    map[int]time.Time    // when a version was first written whole to a courier
 	notices map[string]time.Time // when a notice first came, by message id
 }
 
@@ -50,8 +47,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &discovery{record: r, address: listener.Addr().String(), seq: 1, hosts: hosts, changed: make(chan struct{}), told: map[int]time.Time{},
-		notices: map[string]time.Time{}}
+	d := &discovery{record: r, address: listener.Addr().String(), list: hostList{1, true, hosts}, notices: map[string]time.Time{}}
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -64,44 +60,6 @@
 	return d, nil
 }
 
-// change applies entries as one new version of the list and returns the version.
-func (d *discovery) change(entries ...host) int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.seq++
-	for _, entry := range entries {
-		found := false
-		for i := range d.hosts {
-			if d.hosts[i].Host == entry.Host {
-				d.hosts[i], found = entry, true
-			}
-		}
-		if !found {
-			d.hosts = append(d.hosts, entry)
-		}
-		d.record.add("discovery: version %d, %s is %s", d.seq, entry.Host, entry.Health)
-	}
-	d.changes = append(d.changes, hostList{d.seq, false, entries})
-	close(d.changed)
-	d.changed = make(chan struct{})
-	return d.seq
-}
-
-// list returns the whole list.
-func (d *discovery) list() hostList {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return hostList{d.seq, true, append([]host(nil), d.hosts...)}
-}
-
-// toldAt returns when a version was first written to a courier.
-func (d *discovery) toldAt(seq int) (time.Time, bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	at, ok := d.told[seq]
-	return at, ok
-}
-
 // noticedAt returns when a notice for a message first came.
 func (d *discovery) noticedAt(id string) (time.Time, bool) {
 	d.mu.Lock()
@@ -123,34 +81,14 @@
 			d.takeNotices(request)
 			fmt.Fprint(conn, "HTTP/1.1 204 No Content\r\n\r\n")
 		case request.Method == "GET" && request.URL.Path == "/v1/servers":
-			list := d.answer(request)
-			time.Sleep(listDelay)
-			if !d.write(conn, list) {
-				return
-			}
+			body, _ := json.Marshal(d.answer(request))
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 		default:
 			fmt.Fprint(conn, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
 		}
 	}
 }
 
-// write writes a list and reports whether it could be written whole.
-func (d *discovery) write(conn net.Conn, list hostList) bool {
-	body, _ := json.Marshal(list)
-	if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body); err != nil {
-		return false
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for seq := 1; seq <= list.Seq; seq++ {
-		if _, ok := d.told[seq]; !ok {
-			d.told[seq] = time.Now()
-			d.record.add("discovery: version %d was written to the courier", seq)
-		}
-	}
-	return true
-}
-
 func (d *discovery) takeNotices(request *http.Request) {
 	lines := bufio.NewScanner(request.Body)
 	for lines.Scan() {
@@ -167,30 +105,14 @@
 	}
 }
 
-// answer returns the whole list, or waits for changes after a version.
+// answer returns the whole list, or no change once the wait of a watch is over.
 func (d *discovery) answer(request *http.Request) hostList {
+	time.Sleep(listDelay)
 	index, err := strconv.Atoi(request.URL.Query().Get("index"))
-	if err != nil {
-		return d.list()
+	if err != nil || index < d.list.Seq {
+		return d.list
 	}
 	waitMs, _ := strconv.Atoi(request.URL.Query().Get("wait"))
-	deadline := time.After(time.Duration(min(waitMs, 60000)) * time.Millisecond)
-	for {
-		d.mu.Lock()
-		list, changed := hostList{Seq: d.seq, Hosts: []host{}}, d.changed
-		for _, change := range d.changes {
-			if change.Seq > index {
-				list.Hosts = append(list.Hosts, change.Hosts...)
-			}
-		}
-		d.mu.Unlock()
-		if list.Seq > index {
-			return list
-		}
-		select {
-		case <-changed:
-		case <-deadline:
-			return list
-		}
-	}
+	time.Sleep(time.Duration(min(waitMs, 60000)) * time.Millisecond)
+	return hostList{Seq: d.list.Seq, Hosts: []host{}}
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -56,7 +56,7 @@
 	if s.platform, err = newPlatform(s.record, s.root, s.dir, s.address(), disco.address); err != nil {
 		return nil, err
 	}
-	if err := s.platform.configure(disco.list(), settings); err != nil {
+	if err := s.platform.configure(disco.list, settings); err != nil {
 		return nil, err
 	}
 	started, err := s.platform.start("courier", s.address())
--- a/review/standin/settings.go
+++ b/review/standin/settings.go
@@ -1,13 +1,5 @@
 package main
 
-import "time"
-
-// Figures of the rule on drains: the grace of the site, and the slack that every time limit has on sockets.
-const (
-	drainGrace = 500 * time.Millisecond
-	drainSlack = 50 * time.Millisecond
-)
-
 // tenderSettings are settings like those of a small deployment with the classes and figures of dakar-hq.
 func tenderSettings() map[string]any {
 	return map[string]any{
