Destinations with empty queues leave the waiting list before destinations are pruned

Cause: Dispatcher.waiting is cleaned at the end of a step only. When one step held a canceled message, an endpoint list and a further message, prune (dispatch/endpoints.go) dropped the destination while waiting still held it; accept made another one with the same ID, enqueue found the ID in waiting and left the new one out, and at the end of the step nobody looked at its queue.

Without the list, without the cancel, or with the message in a later step it does not happen.

Change: prune removes destinations with empty queues from waiting first. It is the only place that drops destinations, so waiting never holds one that is no longer known. Cost: prune goes through all destinations already, waiting holds a part of them.

Tests, before: destination-dropped-while-queued.txt fails ("want bounce r3: 0 matching actions"), TestEveryOrderEndsEachMessage fails at [0 1 1 2 0] of 32,768 sequences of five steps. The digests of all other scenarios are as before.

--- a/dispatch/endpoints.go
+++ b/dispatch/endpoints.go
@@ -195,8 +195,10 @@
 }
 
 // prune drops endpoints that were removed from the list and whose group had no call for longer than idle, and destinations that
-// are no longer in use.
+// are no longer in use. waiting may hold destinations whose queue has become empty in this step; they are removed from it first, as
+// it must not keep a destination that is dropped.
 func (d *Dispatcher) prune(idle Micros) {
+	d.dropEmptyQueues()
 	d.forgetIdleGroups()
 	for _, destination := range d.destinations {
 		d.pruneEndpoints(destination, idle)
--- a/dispatch/scenario_test.go
+++ b/dispatch/scenario_test.go
@@ -389,6 +389,9 @@
 	}
 	actions := r.dispatcher.Handle(r.now, events)
 	r.shadows.observe(r, events, actions)
+	if err := checkQueues(r.dispatcher); err != nil {
+		r.fatal("%v", err)
+	}
 	for _, action := range actions {
 		digestAction(r.digest, r.now, action)
 		r.checkRules(action)
