An answer that equals an earlier one on its connection proves nothing about the call that is out

Cause: the network delivered answers a second time during the next call on the connection. HTTP/1.1 numbers no answers, and endpointconn took the next complete one for that of the outstanding call: a repeated 503 "proved" that it never ran, a repeated 200 that it was delivered. From then on each answer on that connection was one behind. A delay before reuse was ruled out as a mend: how late a copy comes is the network's to choose.

TestRepeatedListHidesNoDrain: a drain never heeded behind a repeated list.

Change (server/endpointconn/repeated.go): an answer counts if its status or body differs from all earlier ones on its connection. One that equals an earlier one is ignored and the call's own answer awaited; a wait that it tells is kept (dispatch.RetryAfterReceived). A first line with 200 counts as delivered only for the first call on a connection. Why this holds for any delay: every earlier answer was accepted by the same rule, so each earlier call has its own, and only copies of those can come beside the awaited one. A connection is kept after a success only, and only where the endpoint's successes have differed so far; polls and notices have a connection each. Kept for it: at most 256 digests of 8 bytes for a connection, one entry for each endpoint called (8,192 at most).

Related paths: calls with several messages and calls of a predecessor go by the same rule; health checks the courier makes none.

Tests changed: TestEndpointIsIdentifiedByMoreThanAddress makes two calls, as a connection is kept only after answers that differ. TestInterimResponseInPieces looked for a connection that is still open after the last answer; such a one is closed now, so it checks that the connection stays open during each pause before that answer, and that the message is not sent again. The stand-ins of testbed answer a single message with its ID, so that their connections are reused.

--- a/cmd/pineport/drain_test.go
+++ b/cmd/pineport/drain_test.go
@@ -101,6 +101,42 @@
 	cases.Wait()
 }
 
+// TestRepeatedListHidesNoDrain guards against a drain that is never learned because an earlier answer of discovery, delivered again, is taken
+// for the answer to a later poll. Discovery drops each poll behind whose connection it can repeat an answer.
+func TestRepeatedListHidesNoDrain(t *testing.T) {
+	world, err := scripted.Open(3, func(string) scripted.Response { return scripted.Response{Status: 200, Delay: callDuration} })
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(world.Close)
+	proxy, err := faultproxy.Open(world.Discovery, func(faultproxy.Call) faultproxy.FaultSpec {
+		return faultproxy.FaultSpec{Fault: faultproxy.Repeated}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(proxy.Close)
+	world.Discovery = proxy.Address
+	c := newCourier(t, world)
+	c.start()
+	client := c.submitSteadily(10 * time.Millisecond)
+	waitFor(t, "a call to each endpoint", 3*time.Second, func() bool { return world.Calls(0) > 0 && world.Calls(1) > 0 && world.Calls(2) > 0 })
+	world.Drain(2) // the first watch is answered
+	waitFor(t, "the answer to the first watch", 3*time.Second, func() bool { return !proxy.Calls()[0].Answered.IsZero() })
+	drained := time.Now()
+	world.Drain(0)
+	time.Sleep(time.Until(drained.Add(changeDeadline + drainGrace)))
+	before := world.Calls(0)
+	time.Sleep(time.Second)
+	client.stop()
+	if late := world.Calls(0) - before; late > 0 {
+		t.Errorf("%d calls to the draining endpoint later than %v after its drain; polls: %s", late, changeDeadline+drainGrace, formatPolls(proxy, drained))
+	}
+	if world.Calls(1) == 0 {
+		t.Error("no calls to the endpoint that is not draining")
+	}
+}
+
 func runDrainCase(t *testing.T, faults pollFaults) {
 	world, err := scripted.Open(2, func(string) scripted.Response { return scripted.Response{Status: 200, Delay: callDuration} })
 	if err != nil {
--- a/dispatch/endpoints.go
+++ b/dispatch/endpoints.go
@@ -173,11 +173,16 @@
 		group.rate, group.remaining, group.reported, group.reportedAt = report[rate], report[left], true, d.now
 	}
 	if event.RetryAfter > 0 {
-		until := d.now + event.RetryAfter + d.config.Tick
-		group.retryAfterUntil, group.retryAfterJitter = max(group.retryAfterUntil, until), d.rng.Float64()
+		d.extendRetryAfter(group, event.RetryAfter)
 	}
 }
 
+// extendRetryAfter records a Retry-After of a group that was received now.
+func (d *Dispatcher) extendRetryAfter(group *endpointGroup, retryAfter Micros) {
+	until := d.now + retryAfter + d.config.Tick
+	group.retryAfterUntil, group.retryAfterJitter = max(group.retryAfterUntil, until), d.rng.Float64()
+}
+
 // Avoided reports whether an endpoint gets no new messages now. This is so if it is unknown, draining, removed, disabled by an
 // operator or ejected, or if for every class the group's breaker is not closed or the endpoint is ejected. Avoided changes no
 // state.
--- a/dispatch/scenario_test.go
+++ b/dispatch/scenario_test.go
@@ -37,6 +37,7 @@
 //	take IDS                  MessageAccepted: w (class), p (tenant), key, dest; r1..r9 stands for nine messages
 //	end IDS ATTEMPT OUTCOME   AttemptFinished: took (Duration), wait (Retry-After), left and rate (load report), over
 //	                          (the message has its final answer)
+//	retryafter ENDPOINT DURATION   RetryAfterReceived
 //	left ID                   MessageCanceled
 //	bar, unbar ENDPOINT       MaintenanceChanged: disabled, enabled
 //	closing DURATION          ShutdownScheduled
@@ -337,6 +338,8 @@
 	case "stands": // the process is paused: everything due before the next "at" is handled together at that instant
 		r.flush()
 		r.paused = true
+	case "retryafter":
+		r.batch = append(r.batch, RetryAfterReceived{EndpointID(words[1]), r.duration(words[2])})
 	case "left":
 		r.batch = append(r.batch, MessageCanceled{MessageID(words[1])})
 		r.messages[words[1]].ended = true
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -91,6 +91,10 @@
 		d.attemptFinished(e)
 	case AttemptUnsent:
 		d.attemptUnsent(e)
+	case RetryAfterReceived:
+		if endpoint := d.endpoints[e.Endpoint]; endpoint != nil {
+			d.extendRetryAfter(endpoint.group, e.RetryAfter)
+		}
 	case ShutdownScheduled:
 		d.shutdownAt = e.At
 	case SnapshotRestored:
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -196,6 +196,11 @@
 	}
 	// AttemptUnsent reports an attempt that was not sent because this machine lacked a resource, such as a socket.
 	AttemptUnsent struct{ AttemptFinished }
+	// RetryAfterReceived reports a Retry-After in an answer that ends no attempt, as it may be a repeated one to an earlier call.
+	RetryAfterReceived struct {
+		Endpoint   EndpointID
+		RetryAfter Micros
+	}
 	// ShutdownScheduled announces when the process ends. Attempts still in flight are cut off then; messages without an
 	// attempt in flight are handed off.
 	ShutdownScheduled struct{ At Micros }
@@ -257,6 +262,7 @@
 func (MessageRecovered) event()   {}
 func (AttemptFinished) event()    {}
 func (AttemptUnsent) event()      {}
+func (RetryAfterReceived) event() {}
 func (ShutdownScheduled) event()  {}
 func (Reconfigured) event()       {}
 func (MaintenanceChanged) event() {}
--- a/protocol/http.go
+++ b/protocol/http.go
@@ -88,7 +88,8 @@
 func (p *ResponseParser) PartialBody() []byte { return p.current.Body }
 
 // Feed parses received bytes and returns the response if it is complete. Each connection carries one request at a time,
-// so bytes after a response are an error: they would otherwise be taken for the response to the next request.
+// so bytes after a response are an error, unless the caller ignores that response: they would otherwise be taken for the
+// response to the next request.
 func (p *ResponseParser) Feed(b []byte) (response Response, done bool, err error) {
 	p.buf = append(p.buf, b...)
 	used := 0
@@ -107,6 +108,9 @@
 	return response, done, p.err
 }
 
+// Ignore drops the response that Feed has just returned. Bytes after it are parsed as the next response by the next call of Feed.
+func (p *ResponseParser) Ignore() { p.err = nil }
+
 // End handles the end of the stream. It returns the response whose body ends with the stream, if there is one.
 func (p *ResponseParser) End() (Response, bool) {
 	if p.err == nil && p.state == inBodyUntilClose {
--- a/server/calls.go
+++ b/server/calls.go
@@ -91,6 +91,7 @@
 	call.alignTimeouts()
 	call.exchange = &endpointconn.Exchange{Peer: peerOf(call.entry),
 		OnResponseStart: func(begun bool) { s.answerStarted(call, begun) },
+		OnIgnored:       func(a protocol.Response) { s.answerIgnored(call, a) },
 		BeforeWrite:     func() error { return s.prepareCall(call) },
 		IsWanted:        func() bool { return s.mayCall(call) },
 		OnWritten:       func() { s.counters.attempts += int64(len(call.attempts)) },
@@ -182,6 +183,17 @@
 	}
 }
 
+// answerIgnored observes a Retry-After in an answer that may be a repeated one: it proves nothing of the call, but the endpoint has asked for
+// it now or earlier.
+func (s *Server) answerIgnored(call *call, answer protocol.Response) {
+	if answer.BackoffMs == 0 || s.handoff.handedOver { // after a handoff the successor decides
+		return
+	}
+	retryAfter := dispatch.Micros(answer.BackoffMs) * 1000
+	s.storeRetryAfter(call.entry, s.now+retryAfter)
+	s.events = append(s.events, dispatch.RetryAfterReceived{Endpoint: call.endpoint, RetryAfter: retryAfter})
+}
+
 // callEnded derives the outcomes of a call's attempts from its answer or error.
 func (s *Server) callEnded(call *call, answer protocol.Response, err error) {
 	if errors.Is(err, endpointconn.ErrNoLongerWanted) {
--- a/server/endpointconn/conn.go
+++ b/server/endpointconn/conn.go
@@ -1,6 +1,6 @@
 // Package endpointconn manages the connections that a courier opens to endpoints and to discovery. Each connection carries one
-// exchange at a time. Idle connections are reused, and closed before the peer closes them. Responses are reported through the
-// callbacks of the exchange.
+// exchange at a time. Responses are reported through the callbacks of the exchange. A connection is reused only if a repeated
+// response can be told from the response to the next request (repeated.go); idle connections are closed before the peer closes them.
 //
 // The poller of package transport calls the methods of Conn that implement transport.Handler; they only queue events. All other
 // methods of Conn and the methods of Pool and Exchange are called by the event loop.
@@ -23,6 +23,9 @@
 	// ErrUnexpectedResponse closes a connection that receives bytes while no request is outstanding. Such bytes could not be told
 	// apart from the response to the next request.
 	ErrUnexpectedResponse = errors.New("received data while no request was outstanding")
+	// ErrRepeatedResponse means that a response equals an earlier one on its connection and was ignored, or that there were too many of
+	// them.
+	ErrRepeatedResponse = errors.New("response equals an earlier one on the connection and may be repeated")
 	// ErrNoLongerWanted ends an exchange whose IsWanted returned false, for example because the endpoint started draining while the
 	// connection was being opened.
 	ErrNoLongerWanted = errors.New("request not sent: endpoint became unavailable while the connection was being opened")
@@ -34,7 +37,7 @@
 	errClosedByPeer = errors.New("connection closed by peer")
 )
 
-// Event is an event of a connection: Opened, ResponseReceived, ResponseProgress or Closed. It is passed to Pool.Handle.
+// Event is an event of a connection: Opened, ResponseReceived, ResponseProgress, ResponseIgnored or Closed. It is passed to Pool.Handle.
 type Event interface{ endpointEvent() }
 
 type (
@@ -54,6 +57,12 @@
 		Started     bool
 		PartialBody []byte
 	}
+	// ResponseIgnored reports a complete response that was ignored, see ErrRepeatedResponse.
+	ResponseIgnored struct {
+		Conn     *Conn
+		Request  int64
+		Response protocol.Response
+	}
 	// Closed reports that a connection is closed, or could not be established.
 	Closed struct {
 		Conn        *Conn
@@ -68,6 +77,7 @@
 func (Opened) endpointEvent()           {}
 func (ResponseReceived) endpointEvent() {}
 func (ResponseProgress) endpointEvent() {}
+func (ResponseIgnored) endpointEvent()  {}
 func (Closed) endpointEvent()           {}
 
 // IsMalformed reports whether the connection was closed because the peer sent malformed or unexpected data.
@@ -84,6 +94,7 @@
 	// Accessed only by the poller.
 	parser         *protocol.ResponseParser
 	startedRequest int64 // request whose response was last reported as started; 0 if none
+	responses      responseLog
 
 	// Accessed by the poller and the event loop.
 	requestCount     atomic.Int64 // number of requests written, which is also the number of the last one
@@ -101,6 +112,9 @@
 // Opened implements transport.Handler.
 func (c *Conn) Opened(*transport.Conn) { c.pool.notify(Opened{c}) }
 
+// carriesFirstRequest reports whether the last request is the first one on the connection.
+func (c *Conn) carriesFirstRequest() bool { return c.requestCount.Load() == 1 }
+
 // Data implements transport.Handler.
 func (c *Conn) Data(conn *transport.Conn, b []byte) {
 	last := c.requestCount.Load()
@@ -108,7 +122,7 @@
 		conn.CloseWithError(ErrUnexpectedResponse)
 		return
 	}
-	response, done, err := c.parser.Feed(b)
+	response, done, err := c.nextResponse(b)
 	status, started := c.parser.Started()
 	c.partialStatus.Store(int64(status))
 	started = started && (status == 0 || status >= statusOK) // a partial status line counts as a started response: the peer may stop sending within it
@@ -125,6 +139,22 @@
 	}
 }
 
+// nextResponse parses received bytes and returns the response if it is complete. It ignores responses that may be repeated ones.
+func (c *Conn) nextResponse(b []byte) (response protocol.Response, done bool, err error) {
+	for {
+		response, done, err = c.parser.Feed(b)
+		if !done || c.responses.accept(response) {
+			return response, done, err
+		}
+		c.pool.notify(ResponseIgnored{c, c.requestCount.Load(), response})
+		if c.responses.ignored > maxIgnoredResponses {
+			return protocol.Response{}, false, ErrRepeatedResponse
+		}
+		c.parser.Ignore()
+		b = nil
+	}
+}
+
 // reportStarted reports that the response to a request has started, or that it was an interim response.
 func (c *Conn) reportStarted(request int64, started bool) {
 	c.startedRequest = 0
@@ -137,7 +167,7 @@
 // Closed implements transport.Handler.
 func (c *Conn) Closed(conn *transport.Conn, err error) {
 	// A response without a declared length ends when the connection is closed.
-	if response, ok := c.parser.End(); ok {
+	if response, ok := c.parser.End(); ok && c.responses.accept(response) {
 		c.pool.notify(ResponseReceived{c, c.requestCount.Load(), response})
 	}
 	if err == nil {
--- a/server/endpointconn/exchange.go
+++ b/server/endpointconn/exchange.go
@@ -33,6 +33,8 @@
 	// OnResponseStart is called with true when the first part of a response is received, and with false when that response turns out to be
 	// an interim response.
 	OnResponseStart func(responseStarted bool)
+	// OnIgnored is called for each complete response that is ignored because it may be a repeated one. It may be nil.
+	OnIgnored func(protocol.Response)
 	// OnWritten is called once, when the socket has accepted the last byte of the request or a response proves that it has. The
 	// call may be up to flushInterval late. OnWritten is nil if unused, and is set to nil when it has been called.
 	OnWritten func()
@@ -43,6 +45,7 @@
 	sent            bool
 	finished        bool
 	responseStarted bool   // part of a response has been received
+	ignoredResponse bool   // a response that may be a repeated one was ignored
 	partialBody     []byte // received part of its body
 }
 
@@ -59,9 +62,9 @@
 func (x *Exchange) PartialBody() []byte { return x.partialBody }
 
 // HasSuccessStatus reports whether the status line of an incomplete response has been received with status 200, and the exchange needs
-// no body.
+// no body. On a connection that carried another request before, an incomplete response proves nothing.
 func (x *Exchange) HasSuccessStatus() bool {
-	return x.sent && !x.NeedsBody && x.conn.partialStatus.Load() == statusOK
+	return x.sent && !x.NeedsBody && x.conn.carriesFirstRequest() && x.conn.partialStatus.Load() == statusOK
 }
 
 // notifyWritten calls OnWritten and sets it to nil if the request has been sent and complete is true.
--- a/server/endpointconn/pool.go
+++ b/server/endpointconn/pool.go
@@ -45,11 +45,13 @@
 	conns     map[*Conn]bool
 	idle      map[Peer][]*Conn // longest idle first; may include closed connections, which are no longer in conns
 	unflushed []*Exchange      // exchanges whose OnWritten has not been called yet
+	responses map[Peer]*peerResponses
 }
 
 // NewPool returns an empty pool.
 func NewPool(limits Limits, loop Loop) *Pool {
-	return &Pool{now: loop.Now, dial: loop.Dial, notify: loop.Notify, limits: limits, conns: map[*Conn]bool{}, idle: map[Peer][]*Conn{}}
+	return &Pool{now: loop.Now, dial: loop.Dial, notify: loop.Notify, limits: limits, conns: map[*Conn]bool{}, idle: map[Peer][]*Conn{},
+		responses: map[Peer]*peerResponses{}}
 }
 
 // SetLimits replaces the limits.
@@ -148,6 +150,7 @@
 		return
 	}
 	exchange.finished = true
+	p.noteUnanswered(exchange)
 	if exchange.conn != nil {
 		exchange.notifyWritten(exchange.conn.conn.Flushed())
 		exchange.conn.exchange = nil
@@ -164,6 +167,8 @@
 		p.handleResponseStarted(e)
 	case ResponseReceived:
 		p.handleResponse(e)
+	case ResponseIgnored:
+		p.handleIgnored(e)
 	case Closed:
 		p.handleClosed(e)
 	}
@@ -202,15 +207,57 @@
 	}
 	exchange.finished = true
 	exchange.notifyWritten(true)
-	if event.Response.Close || !conn.conn.Flushed() || !p.conns[conn] {
+	if p.mayReuse(conn, event) {
+		p.keepIdle(conn)
+	} else {
 		conn.exchange = nil
 		p.close(conn)
-	} else {
-		p.keepIdle(conn)
 	}
 	exchange.end(event.Response, nil)
 }
 
+// handleIgnored calls OnIgnored of the exchange that awaits its response.
+func (p *Pool) handleIgnored(event ResponseIgnored) {
+	exchange := event.Conn.exchange
+	if exchange == nil || exchange.finished || event.Request != event.Conn.requestCount.Load() {
+		return
+	}
+	exchange.ignoredResponse = true
+	if exchange.OnIgnored != nil {
+		exchange.OnIgnored(event.Response)
+	}
+}
+
+// noteUnanswered is called when an exchange ends without a response. If one was ignored, it may have been the response to the exchange, equal
+// to an earlier one.
+func (p *Pool) noteUnanswered(exchange *Exchange) {
+	if exchange.ignoredResponse {
+		p.responsesOf(exchange.Peer).equal = true
+	}
+}
+
+// mayReuse reports whether a connection may carry another request after a response, and records the response.
+func (p *Pool) mayReuse(conn *Conn, event ResponseReceived) bool {
+	if conn.peer.IsDiscovery() || event.Response.Status != statusOK {
+		return false
+	}
+	known := p.responsesOf(conn.peer)
+	known.observe(event.Response)
+	isOpen := p.conns[conn] && conn.conn.Flushed() && !event.Response.Close
+	return isOpen && known.differ() && event.Request < maxConnRequests
+}
+
+// responsesOf returns what is known of the responses of a peer.
+func (p *Pool) responsesOf(peer Peer) *peerResponses {
+	if p.responses[peer] == nil {
+		if len(p.responses) >= maxKnownPeers {
+			clear(p.responses)
+		}
+		p.responses[peer] = &peerResponses{}
+	}
+	return p.responses[peer]
+}
+
 func (p *Pool) handleClosed(event Closed) {
 	conn, exchange := event.Conn, event.Conn.exchange
 	if !p.conns[conn] {
@@ -225,10 +272,11 @@
 	if len(event.PartialBody) > len(exchange.partialBody) {
 		exchange.partialBody = event.PartialBody
 	}
-	if event.Status == statusOK && !exchange.NeedsBody && event.Request == conn.requestCount.Load() {
+	if event.Status == statusOK && !exchange.NeedsBody && event.Request == conn.requestCount.Load() && conn.carriesFirstRequest() {
 		exchange.end(protocol.Response{Status: statusOK}, nil) // the endpoint has accepted the request; the truncated body is not needed
 		return
 	}
+	p.noteUnanswered(exchange)
 	exchange.fail(exchange.failureStage(event), event.Err)
 }
 
@@ -283,6 +331,12 @@
 	delete(p.idle, peer)
 }
 
+// Forget closes the idle connections to a peer that is no longer used, and drops what is known of its responses.
+func (p *Pool) Forget(peer Peer) {
+	p.CloseIdle(peer)
+	delete(p.responses, peer)
+}
+
 // CloseAllIdle closes all idle connections.
 func (p *Pool) CloseAllIdle() {
 	for peer := range p.idle {
--- a/server/endpointconn/pool_test.go
+++ b/server/endpointconn/pool_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -17,9 +18,13 @@
 
 const (
 	request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n"
-	success = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
 )
 
+// success returns a successful response with a body.
+func success(body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
 // testPool is a Pool that dials an endpoint of the test. The test also receives its events and sets its time.
 type testPool struct {
 	*Pool
@@ -29,6 +34,7 @@
 	now      dispatch.Micros
 }
 
+// openPool opens a pool that has seen responses of the endpoint with different bodies.
 func openPool(t *testing.T, conns int) *testPool {
 	t.Helper()
 	endpoint, err := net.Listen("tcp", "127.0.0.1:0")
@@ -53,6 +59,7 @@
 			return driver.Dial(address, 5*time.Second, handler)
 		},
 	})
+	p.responses[p.peer] = &peerResponses{last: 1, differed: true}
 	return p
 }
 
@@ -119,7 +126,7 @@
 	t.Helper()
 	_, end := p.start()
 	conn := p.accept(t)
-	io.WriteString(conn, success)
+	io.WriteString(conn, success("first"))
 	used := handleNext[ResponseReceived](t, p).Conn
 	if end.count != 1 || end.err != nil || end.response.Status != statusOK {
 		t.Fatalf("ended as %+v", *end)
@@ -144,7 +151,7 @@
 	conn := p.completeExchange(t)
 	_, end := p.start()
 	readRequest(t, conn)
-	io.WriteString(conn, success)
+	io.WriteString(conn, success("second"))
 	if handleNext[ResponseReceived](t, p); end.count != 1 || p.Idle(p.peer) != 1 {
 		t.Fatalf("ended as %+v, %d idle", *end, p.Idle(p.peer))
 	}
--- a/server/endpointconns.go
+++ b/server/endpointconns.go
@@ -37,15 +37,20 @@
 
 // handleEndpointConn handles an event of an outgoing connection.
 func (s *Server) handleEndpointConn(event endpointconn.Event) {
-	if closed, ok := event.(endpointconn.Closed); ok && closed.IsMalformed() {
-		s.countMalformedAnswer(closed)
+	switch e := event.(type) {
+	case endpointconn.Closed:
+		if e.IsMalformed() {
+			s.countMalformedAnswer(e.Conn, e.Err)
+		}
+	case endpointconn.ResponseIgnored:
+		s.countMalformedAnswer(e.Conn, endpointconn.ErrRepeatedResponse)
 	}
 	s.endpointConns.Handle(event)
 }
 
-// countMalformedAnswer counts an answer that could not be parsed.
-func (s *Server) countMalformedAnswer(closed endpointconn.Closed) {
-	peer := closed.Conn.Peer()
+// countMalformedAnswer counts an answer that could not be used.
+func (s *Server) countMalformedAnswer(conn *endpointconn.Conn, err error) {
+	peer := conn.Peer()
 	s.malformed.answers++
-	s.malformed.lastAnswerError = fmt.Errorf("%s %s: %w", peer.Endpoint, peer.Address, closed.Err)
+	s.malformed.lastAnswerError = fmt.Errorf("%s %s: %w", peer.Endpoint, peer.Address, err)
 }
--- a/server/endpoints.go
+++ b/server/endpoints.go
@@ -163,11 +163,11 @@
 	s.events = append(s.events, update)
 }
 
-// closeUnused closes idle connections to endpoints that are no longer in service or whose peer has changed.
+// closeUnused forgets the connections to endpoints that are no longer in service or whose peer has changed.
 func (s *Server) closeUnused(before map[dispatch.EndpointID]protocol.Endpoint) {
 	for id, entry := range before {
 		if current := s.endpoints[id]; current.Health != protocol.InService || peerOf(current) != peerOf(entry) {
-			s.endpointConns.CloseIdle(peerOf(entry))
+			s.endpointConns.Forget(peerOf(entry))
 		}
 	}
 }
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -470,9 +471,9 @@
 		"another": func(entry *protocol.Endpoint) { entry.Host = "s-new" }, "endpoint restarted": func(entry *protocol.Endpoint) { entry.StartedAtMs = 7 },
 		"same": func(*protocol.Endpoint) {},
 	} {
-		s := steppedServer(t, openWorld(t, 0), newMessage("one"))
+		s := steppedServer(t, openWorld(t, 0), newMessage("one"), newMessage("two"))
 		s.step()
-		for s.messages["one"] != nil { // afterwards its connection is idle
+		for len(s.messages) > 0 { // afterwards a connection is idle, as the answers differed
 			s.handle(endpointEvent{waitForEvent(t, s, func(endpointconn.Event) bool { return true })})
 			s.step()
 		}
@@ -681,16 +682,25 @@
 				ended <- err
 				return
 			}
-			time.Sleep(p.pause)
+			if p.pause > 0 { // the read times out unless the courier has closed the connection
+				conn.SetReadDeadline(time.Now().Add(p.pause))
+				if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+					ended <- fmt.Errorf("the courier closed the connection before its answer: %w", err)
+					return
+				}
+			}
+		}
+		listener.(*net.TCPListener).SetDeadline(time.Now().Add(300 * time.Millisecond))
+		if _, err := listener.Accept(); !errors.Is(err, os.ErrDeadlineExceeded) {
+			ended <- fmt.Errorf("the message was sent again after its answer: %w", err)
+			return
 		}
-		conn.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
-		_, err = conn.Read(make([]byte, 1)) // times out unless the courier has closed the connection
-		ended <- err
+		ended <- nil
 	}()
 	listen := startServer(t, world, 0)
 	submit(t, listen, "one")
-	if err := <-ended; err == nil || !strings.Contains(err.Error(), "timeout") {
-		t.Errorf("the courier closed the connection: %v", err)
+	if err := <-ended; err != nil {
+		t.Error(err)
 	}
 	if _, _, notices := world.MessageCalls("one"); len(notices) > 0 {
 		t.Errorf("message ended with %v", notices)
--- a/testbed/environment/endpoint.go
+++ b/testbed/environment/endpoint.go
@@ -440,7 +440,7 @@
 			headers += fmt.Sprintf("X-Backoff-Ms: %d\r\n", int64(result.RetryAfter+999)/1000)
 		}
 	default:
-		if isBatch {
+		if body = string(ids[0]); isBatch {
 			body = e.batchResults(ids, a.refusals, "accepted")
 		}
 	}
--- a/testbed/faultproxy/faultproxy.go
+++ b/testbed/faultproxy/faultproxy.go
@@ -31,9 +31,10 @@
 	SlowResponse        // the response is sent byte by byte over FaultSpec.Delay
 	EndlessHeader       // the response header never ends
 	Corrupted           // the response body is modified by FaultSpec.Edit
+	Repeated            // the previous response of the connection is sent again, and the request is dropped; without a previous one as None
 )
 
-var faultNames = [...]string{"none", "silent", "reset", "unavailable", "cut", "stuck", "duplicate", "late", "trickle", "endless", "spoilt"}
+var faultNames = [...]string{"none", "silent", "reset", "unavailable", "cut", "stuck", "duplicate", "late", "trickle", "endless", "spoilt", "repeated"}
 
 func (f Fault) String() string { return faultNames[f] }
 
@@ -134,6 +135,7 @@
 		p.mu.Unlock()
 	}()
 	in := bufio.NewReader(conn)
+	var previous bytes.Buffer // last response of the connection
 	for {
 		request, err := http.ReadRequest(in)
 		if err != nil {
@@ -144,12 +146,28 @@
 			return
 		}
 		call, treatment := p.register(request)
-		if !p.handle(conn, call.Number, treatment, request, body) {
+		if treatment.Fault == Repeated && previous.Len() > 0 {
+			conn.Write(previous.Bytes())
+			continue
+		}
+		previous.Reset()
+		if !p.handle(&recordedConn{conn, &previous}, call.Number, treatment, request, body) {
 			return
 		}
 	}
 }
 
+// recordedConn is a connection whose written bytes are recorded.
+type recordedConn struct {
+	net.Conn
+	written *bytes.Buffer
+}
+
+func (c *recordedConn) Write(b []byte) (int, error) {
+	c.written.Write(b)
+	return c.Conn.Write(b)
+}
+
 func (p *Proxy) register(request *http.Request) (Call, FaultSpec) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -252,6 +270,9 @@
 }
 
 func reset(conn net.Conn) {
+	if recorded, ok := conn.(*recordedConn); ok {
+		conn = recorded.Conn
+	}
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		tcp.SetLinger(0)
 	}
--- a/testbed/scripted/scripted.go
+++ b/testbed/scripted/scripted.go
@@ -340,7 +340,10 @@
 
 func (w *World) hook(rw http.ResponseWriter, r *http.Request) {
 	io.Copy(io.Discard, r.Body)
-	w.call(rw, r.Header.Get("X-Call-Id"))
+	id := r.Header.Get("X-Call-Id")
+	if w.call(rw, id) {
+		fmt.Fprintln(rw, id)
+	}
 }
 
 func (w *World) batch(rw http.ResponseWriter, r *http.Request) {
