Soak: processes are held up for up to 0.15 s, and a kill after an overdue exit excuses nothing

A hold-up lets each thread of the traced process wait at its next system call. Half of the seeds have one about once a second, drawn from a source of their own, so that the other faults of a seed stay.

A process that has not ended 3.7 s after SIGTERM was killed as if the plan had drawn it, and requests cut off near the kill were excused. It is a breach now, and only a drawn SIGKILL excuses.

--- a/cmd/pineport-testbed/soak.go
+++ b/cmd/pineport-testbed/soak.go
@@ -19,6 +19,7 @@
 type soakFlags struct {
 	seeds    int
 	from     int64
+	skip     []int64
 	seconds  float64
 	parallel int
 	courier  string
@@ -42,6 +43,7 @@
 	}
 	cmd.Flags().IntVar(&f.seeds, "seeds", 8, "number of seeds")
 	cmd.Flags().Int64Var(&f.from, "from", 1, "the first seed")
+	cmd.Flags().Int64SliceVar(&f.skip, "skip", nil, "seeds that are not run, separated by commas")
 	cmd.Flags().Float64Var(&f.seconds, "seconds", 12, "length of each run, in seconds; the run then waits until the open messages have ended or expired")
 	cmd.Flags().IntVar(&f.parallel, "parallel", 4, "number of concurrent runs")
 	cmd.Flags().StringVar(&f.courier, "courier", "", "courier binary (empty: the one in this program's directory, else a new build)")
@@ -85,22 +87,33 @@
 	return err
 }
 
+// selectedSeeds returns the seeds to run.
+func (f soakFlags) selectedSeeds() (seeds []int64) {
+	for i := range f.seeds {
+		if seed := f.from + int64(i); !slices.Contains(f.skip, seed) {
+			seeds = append(seeds, seed)
+		}
+	}
+	return seeds
+}
+
 // playSeeds runs all seeds, at most --parallel of them concurrently, and writes a progress line after each.
 func playSeeds(ctx context.Context, f soakFlags, binary string, progress io.Writer) ([]*soak.Result, error) {
-	results, errs := make([]*soak.Result, f.seeds), make([]error, f.seeds)
+	seeds := f.selectedSeeds()
+	results, errs := make([]*soak.Result, len(seeds)), make([]error, len(seeds))
 	slots := make(chan struct{}, f.parallel)
 	var workers sync.WaitGroup
 	var mu sync.Mutex
 	done := 0
-	for i := range f.seeds {
+	for i, seed := range seeds {
 		slots <- struct{}{}
 		workers.Go(func() {
 			defer func() { <-slots }()
-			results[i], errs[i] = soak.Play(ctx, soak.Options{Binary: binary, Seed: f.from + int64(i), Dir: f.dir, Length: time.Duration(f.seconds * float64(time.Second))})
+			results[i], errs[i] = soak.Play(ctx, soak.Options{Binary: binary, Seed: seed, Dir: f.dir, Length: time.Duration(f.seconds * float64(time.Second))})
 			mu.Lock()
 			defer mu.Unlock()
 			done++
-			fmt.Fprintf(progress, "seed %d finished, %d of %d\n", f.from+int64(i), done, f.seeds)
+			fmt.Fprintf(progress, "seed %d finished, %d of %d\n", seed, done, len(seeds))
 		})
 	}
 	workers.Wait()
@@ -117,8 +130,10 @@
 
 func printSoak(out io.Writer, results []*soak.Result, f soakFlags) error {
 	triggered, notTriggered, violating, accepted := map[string]int{}, map[string]int{}, 0, 0
+	selfExits, killed, overdue := 0, 0, 0
 	for _, r := range results {
 		accepted += r.Accepted
+		selfExits, killed, overdue = selfExits+r.SelfExits, killed+r.Killed, overdue+r.Overdue
 		for fault, n := range r.FaultCounts {
 			triggered[fault] += n
 		}
@@ -143,6 +158,7 @@
 	for _, fault := range sortedKeys(notTriggered) {
 		fmt.Fprintf(out, "%-28s scheduled but not triggered in %d runs\n", fault, notTriggered[fault])
 	}
+	fmt.Fprintf(out, "processes: %d ended by themselves, %d killed as planned, %d killed because they had not ended in time\n", selfExits, killed, overdue)
 	_, err := fmt.Fprintf(out, "%d seeds, %d messages accepted, %d seeds with violated invariants\n", len(results), accepted, violating)
 	return err
 }
--- a/testbed/soak/judge.go
+++ b/testbed/soak/judge.go
@@ -20,8 +20,10 @@
 // outage is a span in which no message is overdue: from the first signal that ends a process until the next one was ready.
 type outage struct {
 	from, until time.Time
-	// killedAt is when SIGKILL was sent to a process that still ran; zero if the process ended by itself.
+	// killedAt is when a SIGKILL of the plan was sent to a process that still ran; zero if the process ended by itself or was overdue.
 	killedAt time.Time
+	// overdue is set if the process had not ended in time after SIGTERM. The kill that follows excuses no request.
+	overdue bool
 }
 
 // dueAt returns when a message must have ended.
@@ -35,7 +37,7 @@
 	return due
 }
 
-// diedNear reports whether a process was killed shortly before or after an instant.
+// diedNear reports whether the plan killed a process shortly before or after an instant.
 func diedNear(at time.Time, outages []outage) bool {
 	for _, away := range outages {
 		if !away.killedAt.IsZero() && at.Sub(away.killedAt).Abs() < replyTimeout {
--- a/testbed/soak/plan.go
+++ b/testbed/soak/plan.go
@@ -36,6 +36,7 @@
 	actionSilence         = "discovery open connections silent"
 	actionHold            = "discovery new connections silent"
 	actionHang            = "half of the calls hang"
+	actionHoldUp          = "process held up"
 )
 
 // timedSignal is a signal and the time from the one before it.
@@ -101,6 +102,23 @@
 	{syscallName: anyStateDirCall, effect: syscallfault.Effect{Limit: 5}},
 }
 
+// A process is held up by others on its machine, for maxHoldUp at the most as the protocol page has it, about once a second.
+const (
+	minHoldUp       = 60 * time.Millisecond
+	maxHoldUp       = 150 * time.Millisecond
+	minHoldUpPause  = 800 * time.Millisecond
+	holdUpPauseSpan = 600 * time.Millisecond
+)
+
+// drawHoldUps draws whether and from when the process is held up. It has a random source of its own, so that the other faults of a seed
+// stay as they were before there were hold-ups.
+func drawHoldUps(rng *rand.Rand, quietPeriod, length time.Duration) []action {
+	if rng.Intn(2) == 0 {
+		return nil
+	}
+	return []action{{at: quietPeriod, name: actionHoldUp, duration: length - quietPeriod}}
+}
+
 // anyStateDirCall as an action's syscallName stands for all system calls that change the state folder.
 const anyStateDirCall = "folder"
 
--- a/testbed/soak/play.go
+++ b/testbed/soak/play.go
@@ -60,7 +60,8 @@
 	Unread              int            `json:"unread"`       // requests that were not read before their connection was reset
 	ToldWrongly         int            `json:"told_wrongly"` // messages that were delivered and had a notice too
 	SelfExits           int            `json:"self_exits"`   // processes that ended by themselves after SIGTERM
-	Killed              int            `json:"killed"`       // processes that were ended by SIGKILL
+	Killed              int            `json:"killed"`       // processes that were ended by a SIGKILL of the plan
+	Overdue             int            `json:"overdue"`      // processes that were killed because they had not ended in time after SIGTERM
 	FaultCounts         map[string]int `json:"struck"`       // how often each action or discovery fault took effect
 	FaultsWithoutEffect []string       `json:"not_struck"`   // actions of the plan that never took effect, and so were not tested
 	Breaches            []string       `json:"breaches"`
@@ -78,6 +79,7 @@
 	log      *os.File
 	clients  clients
 	hanging  atomic.Bool // half of the calls to endpoints hang
+	holdUps  *rand.Rand  // draws the hold-ups of the process
 
 	mu               sync.Mutex
 	child            *syscallfault.Process
@@ -87,6 +89,7 @@
 	holding          bool // new connections to discovery are silent
 	selfExits        int
 	killed           int
+	overdue          int
 	stopRequested    bool // the process was killed or asked to stop
 	outages          []outage
 	faultCounts      map[string]int
@@ -108,7 +111,8 @@
 
 func runInDir(ctx context.Context, dir string, o Options) (*Result, error) {
 	rng := rand.New(rand.NewSource(o.Seed))
-	r := &run{options: o, plan: drawPlan(rng, o.Length), faultCounts: map[string]int{}, matchCounts: map[string]int{}, dir: dir}
+	r := &run{options: o, plan: drawPlan(rng, o.Length), holdUps: rand.New(rand.NewSource(-o.Seed)), faultCounts: map[string]int{}, matchCounts: map[string]int{}, dir: dir}
+	r.plan.actions = append(r.plan.actions, drawHoldUps(r.holdUps, r.plan.quietPeriod, o.Length)...)
 	if err := r.setUp(rng.Int63()); err != nil {
 		return nil, err
 	}
@@ -300,6 +304,8 @@
 		wait(ctx, a.duration)
 		r.hanging.Store(false)
 		r.addToTimeline("%s ended", a.name)
+	case actionHoldUp:
+		r.holdUp(ctx, a)
 	case actionSignals:
 		r.signalSeries(ctx, a)
 	default:
@@ -314,6 +320,20 @@
 	}
 }
 
+// holdUp holds the running process up again and again.
+func (r *run) holdUp(ctx context.Context, a action) {
+	for end := time.Now().Add(a.duration); time.Now().Before(end); {
+		r.mu.Lock()
+		child := r.child
+		r.mu.Unlock()
+		child.HoldUp(minHoldUp + time.Duration(r.holdUps.Int63n(int64(maxHoldUp-minHoldUp))))
+		r.count(a.name)
+		if !wait(ctx, minHoldUpPause+time.Duration(r.holdUps.Int63n(int64(holdUpPauseSpan)))) {
+			return
+		}
+	}
+}
+
 // wait waits for a duration. It returns false if the run ends first.
 func wait(ctx context.Context, duration time.Duration) bool {
 	select {
@@ -435,7 +455,7 @@
 // judgeRequests judges all requests.
 func (r *run) judgeRequests(res *Result) {
 	r.mu.Lock()
-	res.SelfExits, res.Killed = r.selfExits, r.killed
+	res.SelfExits, res.Killed, res.Overdue = r.selfExits, r.killed, r.overdue
 	j := &judge{events: r.standIns.Events, outages: slices.Clone(r.outages), crowded: r.plan.has(actionOpenConnections), result: res, start: r.startedAt,
 		notices: func(id string) []string { _, _, notices := r.standIns.MessageCalls(id); return notices }}
 	r.mu.Unlock()
--- a/testbed/soak/signals.go
+++ b/testbed/soak/signals.go
@@ -50,7 +50,8 @@
 		case <-child.Done:
 			r.addToTimeline("exited")
 		case <-time.After(time.Until(away.from.Add(killAfter))):
-			away.killedAt = time.Now()
+			away.overdue = true
+			r.reportBreach("exit: the process had not ended %v after SIGTERM, and was killed", killAfter)
 		}
 		time.Sleep(time.Until(away.from.Add(killAfter)))
 		if !hasExited(child) {
@@ -59,9 +60,12 @@
 	}
 	<-child.Done
 	r.mu.Lock()
-	if away.killedAt.IsZero() {
+	switch {
+	case away.overdue:
+		r.overdue++
+	case away.killedAt.IsZero():
 		r.selfExits++
-	} else {
+	default:
 		r.killed++
 	}
 	away.until = time.Now().Add(time.Hour) // until it is known when the next process is ready
--- a/testbed/soak/soak_test.go
+++ b/testbed/soak/soak_test.go
@@ -40,7 +40,7 @@
 	event := func(kind scripted.EventKind, seconds float64) scripted.Event {
 		return scripted.Event{Kind: kind, At: at(seconds)}
 	}
-	outages := []outage{{from: at(10), until: at(15)}, {from: at(20), until: at(21), killedAt: at(20)}}
+	outages := []outage{{from: at(10), until: at(15)}, {from: at(20), until: at(21), killedAt: at(20)}, {from: at(26.4), until: at(31), overdue: true}}
 	for _, c := range []struct {
 		name    string
 		request request
@@ -63,6 +63,7 @@
 		{"read and closed", request{id: "order-1", result: unanswered, completeSent: true, endedAt: at(0.1)}, 0, nil, nil, 1},
 		{"read and closed by an exit", request{id: "order-1", result: unanswered, completeSent: true, endedAt: at(13.4)}, 0, nil, nil, 1},
 		{"read and killed", request{id: "order-1", result: unanswered, completeSent: true, endedAt: at(20.1)}, 0, nil, nil, 0},
+		{"read and killed as the process had not ended", request{id: "order-1", result: unanswered, completeSent: true, endedAt: at(30.1)}, 0, nil, nil, 1},
 		{"reset unread at rest", request{id: "order-1", result: unread, endedAt: at(0.1)}, 0, nil, nil, 0},
 		{"new connection reset", request{id: "order-1", result: unread, firstOnConn: true, endedAt: at(0.1)}, 0, nil, nil, 1},
 		{"new connection reset by an exit", request{id: "order-1", result: unread, firstOnConn: true, endedAt: at(13.5)}, 0, nil, nil, 0},
@@ -81,3 +82,21 @@
 		}
 	}
 }
+
+// TestHoldUpsLeavePlansUnchanged checks that hold-ups are drawn from a source of their own, in about half of the seeds.
+func TestHoldUpsLeavePlansUnchanged(t *testing.T) {
+	const length, seeds = 12 * time.Second, 300
+	heldUp := 0
+	for seed := range int64(seeds) {
+		actions := drawHoldUps(rand.New(rand.NewSource(-seed)), time.Second, length)
+		heldUp += len(actions)
+		for _, a := range actions {
+			if a.at < time.Second || a.at+a.duration > length {
+				t.Errorf("seed %d: held up from %v for %v", seed, a.at, a.duration)
+			}
+		}
+	}
+	if heldUp < seeds/3 || heldUp > 2*seeds/3 {
+		t.Errorf("%d of %d seeds have hold-ups", heldUp, seeds)
+	}
+}
--- a/testbed/syscallfault/process.go
+++ b/testbed/syscallfault/process.go
@@ -9,7 +9,9 @@
 	"os/exec"
 	"runtime"
 	"sync"
+	"sync/atomic"
 	"syscall"
+	"time"
 	"unsafe"
 
 	"golang.org/x/sys/unix"
@@ -20,8 +22,9 @@
 	PID  int
 	Done chan struct{} // closed when the child has exited
 
-	decide func(*Call) Effect
-	status syscall.WaitStatus
+	decide    func(*Call) Effect
+	status    syscall.WaitStatus
+	heldUntil atomic.Int64 // end of the last HoldUp, in Unix nanoseconds
 
 	mu           sync.Mutex
 	effectCounts map[string]int // number of applied effects, by "CALL EFFECT"
@@ -47,6 +50,13 @@
 // Signal sends a signal to the child.
 func (p *Process) Signal(signal syscall.Signal) error { return syscall.Kill(p.PID, signal) }
 
+// HoldUp holds the child up for a length of time, as a busy machine does: each of its threads waits at its next system call, and signals
+// wait too. It returns at once.
+func (p *Process) HoldUp(length time.Duration) { p.heldUntil.Store(time.Now().Add(length).UnixNano()) }
+
+// waitWhileHeld waits until the end of the last HoldUp.
+func (p *Process) waitWhileHeld() { time.Sleep(time.Until(time.Unix(0, p.heldUntil.Load()))) }
+
 // Status waits for the child to exit, and returns its wait status.
 func (p *Process) Status() syscall.WaitStatus {
 	<-p.Done
@@ -119,6 +129,7 @@
 		default:
 			deliver = int(signal)
 		}
+		p.waitWhileHeld()
 		_ = syscall.PtraceSyscall(thread, deliver) // fails if the thread has exited; the next Wait4 reports that
 	}
 }
