Failing tests: exits and notices while the process is held up

Failure: a hold-up of 0.15 s near the end of an exit lets SIGKILL cut off requests that were read, up to 40 at once; a notice that waited 0.15 s for a new connection comes late if the process is held up and the way takes 0.1 s.

--- a/cmd/pineport/exit_test.go
+++ b/cmd/pineport/exit_test.go
@@ -20,6 +20,9 @@
 // Failure: a client wrote a request in two parts, and the courier, which had SIGTERM, read the first part, closed the connection as the second one
 // was on its way, and ended: the request got no reply (rule lost).
 
+// earliestKill is how soon after SIGTERM the platform may send SIGKILL.
+const earliestKill = 3700 * time.Millisecond
+
 // partsClient writes requests in two parts over one connection until the connection ends.
 type partsClient struct {
 	number int
@@ -79,7 +82,6 @@
 // whose first part was read must have a reply, -BUSY if its second part does not come in time. The process must end by itself before SIGKILL
 // may come.
 func TestRequestInPartsAtExitGetsReply(t *testing.T) {
-	const earliestKill = 3700 * time.Millisecond
 	for _, pause := range []time.Duration{25 * time.Millisecond, 60 * time.Millisecond, 400 * time.Millisecond} {
 		t.Run(pause.String(), func(t *testing.T) {
 			t.Parallel()
@@ -118,3 +120,53 @@
 		})
 	}
 }
+
+// TestExitEndsBeforeKillWhileHeldUp guards against a process that is held up at its exit, so that SIGKILL comes over requests that it has read:
+// it must end by itself in time, and answer them, whenever a hold-up comes.
+func TestExitEndsBeforeKillWhileHeldUp(t *testing.T) {
+	const holdUp = 150 * time.Millisecond
+	everySecond := []time.Duration{0, time.Second, 2 * time.Second, 3 * time.Second}
+	for _, c := range []struct {
+		name    string
+		holdUps []time.Duration // from SIGTERM
+	}{
+		{"at the signal", []time.Duration{0}}, {"after 3.3 s", []time.Duration{3300 * time.Millisecond}},
+		{"after 3.45 s", []time.Duration{3450 * time.Millisecond}}, {"after 3.55 s", []time.Duration{3550 * time.Millisecond}},
+		{"every second", everySecond}, {"every second, last after 3.5 s", append([]time.Duration{500 * time.Millisecond, 1500 * time.Millisecond, 2500 * time.Millisecond}, 3500*time.Millisecond)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			world, err := scripted.Open(2, func(string) scripted.Response { return scripted.Response{Status: 200, Delay: 10 * time.Millisecond} })
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(world.Close)
+			courier := newCourier(t, world)
+			child := courier.startTraced(nil, nil)
+			clients := make([]*partsClient, 40)
+			var running sync.WaitGroup
+			for i := range clients {
+				clients[i] = &partsClient{number: i, pause: 60 * time.Millisecond}
+				running.Go(func() { clients[i].run(t, courier.listen) })
+			}
+			time.Sleep(300 * time.Millisecond)
+			asked := time.Now()
+			child.Signal(syscall.SIGTERM)
+			for _, at := range c.holdUps {
+				time.AfterFunc(at, func() { child.HoldUp(holdUp) })
+			}
+			select {
+			case <-child.Done:
+			case <-time.After(time.Until(asked.Add(earliestKill))):
+				child.Signal(syscall.SIGKILL)
+				t.Errorf("the process had not ended %v after SIGTERM", earliestKill)
+			}
+			running.Wait()
+			for _, client := range clients {
+				for _, lost := range client.lost {
+					t.Errorf("client %d, after %d replies: %s", client.number, client.replies, lost)
+				}
+			}
+		})
+	}
+}
--- a/cmd/pineport/notice_connections_test.go
+++ b/cmd/pineport/notice_connections_test.go
@@ -167,7 +167,8 @@
 type forwarder struct {
 	listener net.Listener
 	upstream string
-	paused   sync.RWMutex // write-locked while paused
+	paused   sync.RWMutex  // write-locked while paused
+	latency  time.Duration // that each direction adds
 }
 
 func newForwarder(t *testing.T, upstream string) *forwarder {
@@ -197,8 +198,33 @@
 		return
 	}
 	defer server.Close()
-	go io.Copy(server, conn)
-	io.Copy(conn, server)
+	go copyDelayed(server, conn, f.latency)
+	copyDelayed(conn, server, f.latency)
+}
+
+// copyDelayed copies from one connection to another until either ends. All bytes arrive later by the latency.
+func copyDelayed(to, from net.Conn, latency time.Duration) {
+	defer to.Close()
+	type chunk struct {
+		bytes []byte
+		due   time.Time
+	}
+	chunks := make(chan chunk, 1024)
+	go func() {
+		defer close(chunks)
+		for {
+			buffer := make([]byte, 16<<10)
+			n, err := from.Read(buffer)
+			if err != nil {
+				return
+			}
+			chunks <- chunk{buffer[:n], time.Now().Add(latency)}
+		}
+	}()
+	for c := range chunks {
+		time.Sleep(time.Until(c.due))
+		to.Write(c.bytes) // an error means that the connection has ended, which the reader sees too
+	}
 }
 
 // dial connects to the server, after the end of a pause.
@@ -246,3 +272,37 @@
 		}
 	}
 }
+
+// TestNoticesInTimeWhileHeldUp guards against notices that wait for a new connection until a hold-up of the process leaves them no time: new
+// connections to discovery are silent, the way there takes as long as the platform's longest, and the process is held up about once a second.
+func TestNoticesInTimeWhileHeldUp(t *testing.T) {
+	const (
+		latency  = 100 * time.Millisecond // half of the longest round trip
+		holdUp   = 150 * time.Millisecond
+		interval = 700 * time.Millisecond
+		length   = 3 * time.Second
+	)
+	for _, isHeldUp := range []bool{false, true} {
+		t.Run(fmt.Sprintf("held up %v", isHeldUp), func(t *testing.T) {
+			t.Parallel()
+			world := refusingWorld(t)
+			proxy := newForwarder(t, world.Discovery)
+			proxy.latency = latency
+			world.Discovery = proxy.listener.Addr().String()
+			c := newCourier(t, world)
+			child := c.startTraced(nil, nil)
+			load := newUndeliverableLoad(t, c.listen)
+			load.submitFor(2 * time.Second)
+			proxy.paused.Lock()
+			if isHeldUp {
+				for at := time.Duration(0); at < length; at += interval {
+					time.AfterFunc(at, func() { child.HoldUp(holdUp) })
+				}
+			}
+			load.submitFor(length)
+			proxy.paused.Unlock()
+			time.Sleep(1500 * time.Millisecond)
+			load.verify(world)
+		})
+	}
+}
