Urgent notices go over a used connection at once, so that a hold-up of the process fits in

Callers saw a final answer later than 0.3 s after the deadline. A notice waited 0.15 s for a new connection before it went over a used one; with a hold-up of 0.15 s and a way of 0.1 s there was no time left. Ruled out: the retry of the call itself (the log shows waited_ms of 150 to 300 with one attempt).

A notice whose message has less than 0.05 s left, or none, is sent once over a used connection at once, beside the new one; a second copy goes over another one after 0.15 s as before. The lead is the platform's round trip and hold-up less the time that a final answer may come late. Four used connections are kept in place of two, so that one is free. The times of the platform stand in package platform, with their source.

--- a/server/discovery.go
+++ b/server/discovery.go
@@ -197,7 +197,7 @@
 	d.pollInFlight = nil
 	d.abortCalls()
 	for _, pending := range d.notices {
-		pending.nextAttemptAt, pending.attempts, pending.sentOverUsed = d.server.now, 0, false
+		pending.nextAttemptAt, pending.attempts, pending.usedCopies = d.server.now, 0, 0
 	}
 	d.server.endpointConns.CloseIdle(endpointconn.Peer{Address: old})
 	d.poll(dispatch.WatchEndpoints{})
--- a/server/endpointconn/pool.go
+++ b/server/endpointconn/pool.go
@@ -345,8 +345,8 @@
 	p.idle[conn.peer] = append(p.idle[conn.peer], conn)
 }
 
-// maxUsedConns is how many used connections to discovery are kept. A second one helps if the first one has fallen silent.
-const maxUsedConns = 2
+// maxUsedConns is how many used connections to discovery are kept, so that one is free while calls are out on others or have fallen silent.
+const maxUsedConns = 4
 
 // keepUsed keeps a connection to discovery for exchanges with OverUsedConn, and closes the longest-idle one beyond maxUsedConns.
 func (p *Pool) keepUsed(conn *Conn) {
--- a/server/notices.go
+++ b/server/notices.go
@@ -4,8 +4,10 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"time"
 
 	"pineport/dispatch"
+	"pineport/platform"
 	"pineport/protocol"
 	"pineport/server/endpointconn"
 	"pineport/spool"
@@ -34,7 +36,7 @@
 	nextAttemptAt dispatch.Micros // when the notice is sent for the first time or again
 	attempts      int
 	done          bool // confirmed, expired or rejected as malformed
-	sentOverUsed  bool // sent over a used connection, which has not failed since; only the confirmation is missing
+	usedCopies    int  // copies sent over used connections that have not failed since; only the confirmation is missing
 }
 
 // noticeCall is a call in flight that carries notices.
@@ -138,14 +140,14 @@
 }
 
 // noticeSlack is how long after the deadline of its message a notice is in time.
-const noticeSlack = 300 * 1000
+const noticeSlack = dispatch.Micros(platform.FinalAnswerSlack / time.Microsecond)
 
 // logLateness logs a notice that is confirmed later than it should have been.
 func (d *discoveryClient) logLateness(pending *pendingNotice, err error) {
 	late := d.server.now - (pending.expiresAt - noticeLifetime)
 	if err == nil && !pending.done && late > noticeSlack {
 		d.server.log.Warn("notice confirmed late", "message", pending.content.ID, "late_ms", late/1000, "waited_ms", (d.server.now-pending.addedAt)/1000,
-			"attempts", pending.attempts, "over_used", pending.sentOverUsed)
+			"attempts", pending.attempts, "used_copies", pending.usedCopies)
 	}
 }
 
--- a/server/notices_used.go
+++ b/server/notices_used.go
@@ -3,17 +3,49 @@
 import (
 	"errors"
 	"slices"
+	"time"
 
 	"pineport/dispatch"
+	"pineport/platform"
 	"pineport/protocol"
 	"pineport/server/endpointconn"
 )
 
-// This file sends notices over used connections to discovery while no new one can be opened, and keeps such a connection open.
+// This file sends copies of notices over used connections to discovery, when the deadline of their message is near or no new connection can be
+// opened, and keeps such connections open.
 
-// newConnTimeout is how long a notice waits for a new connection and its answer before it is also sent over a used one: half of the time
-// that a final answer may come late.
-const newConnTimeout = 150 * 1000
+const (
+	// newConnTimeout is how long a notice waits for a new connection and its answer before copies of it are also sent over used ones: half of
+	// the time that a final answer may come late.
+	newConnTimeout = 150 * 1000
+	// urgentLead is how long before the deadline of its message a notice becomes urgent. From then on one copy is sent over a used connection
+	// at once: waiting until one is free, a hold-up of the process and the way to discovery then fit in the time that is left.
+	urgentLead = (platform.MaxRoundTrip + platform.MaxHoldUp - platform.FinalAnswerSlack) / time.Microsecond
+	// maxUsedCopies is the number of used connections over which a notice is sent, as one of them may have fallen silent.
+	maxUsedCopies = 2
+	// usedConnRetry is the interval between attempts to send over a used connection that is not ready yet.
+	usedConnRetry = 2 * 1000
+)
+
+// urgentAt returns when a notice becomes urgent.
+func (p *pendingNotice) urgentAt() dispatch.Micros {
+	return max(p.addedAt, p.expiresAt-noticeLifetime-dispatch.Micros(urgentLead))
+}
+
+// copyDueAt returns when the next copy of a notice is to be sent over a used connection: at once while calls over new connections fail.
+func (d *discoveryClient) copyDueAt(pending *pendingNotice) dispatch.Micros {
+	late := pending.addedAt + newConnTimeout
+	if d.failedCalls > 0 {
+		late = pending.addedAt
+	}
+	switch pending.usedCopies {
+	case 0:
+		return min(late, pending.urgentAt())
+	case 1:
+		return late
+	}
+	return never
+}
 
 // overUsedDue returns when the next notice is to be sent over a used connection.
 func (d *discoveryClient) overUsedDue() dispatch.Micros {
@@ -22,46 +54,37 @@
 		return at
 	}
 	for _, pending := range d.notices {
-		if !pending.sentOverUsed && !d.waitsForSpool(pending) {
-			at = min(at, max(d.overUsedAt(pending), d.server.now+usedConnRetry))
+		if due := d.copyDueAt(pending); due < never && !d.waitsForSpool(pending) {
+			at = min(at, max(due, d.server.now+usedConnRetry))
 		}
 	}
 	return at
 }
 
-// usedConnRetry is the interval between attempts to send over a used connection that is not ready yet.
-const usedConnRetry = 2 * 1000
-
-// overUsedAt returns when a notice is to be sent over a used connection: at once while calls over new connections fail.
-func (d *discoveryClient) overUsedAt(pending *pendingNotice) dispatch.Micros {
-	if d.failedCalls > 0 {
-		return pending.addedAt
+// notifyOverUsed sends copies of notices over used connections. The answers confirm nothing, so the notices are sent over a new connection
+// too, as soon as there is one. Incident: while connections could not be opened, notices reached discovery up to seconds after the
+// deadline of their messages.
+func (d *discoveryClient) notifyOverUsed() {
+	for d.server.endpointConns.Idle(d.peer()) > 0 {
+		due := d.copiesDue()
+		if len(due) == 0 || !d.callOverUsed(due) {
+			return
+		}
 	}
-	return pending.addedAt + newConnTimeout
 }
 
-// notifyOverUsed sends notices over all used connections at once while new ones fail or do not answer, as one of them may have fallen silent.
-// The answers confirm nothing, so the notices are sent over a new connection too, as soon as there is one. Incident: while
-// connections could not be opened, notices reached discovery up to seconds after the deadline of their messages.
-func (d *discoveryClient) notifyOverUsed() {
-	if d.server.endpointConns.Idle(d.peer()) == 0 {
-		return
-	}
-	var due []*pendingNotice
+// copiesDue returns notices of which a copy is due, at most maxNoticesPerCall.
+func (d *discoveryClient) copiesDue() (due []*pendingNotice) {
 	for _, pending := range d.notices {
-		if d.server.now >= d.overUsedAt(pending) && !pending.sentOverUsed && !d.waitsForSpool(pending) {
+		if len(due) < maxNoticesPerCall && d.server.now >= d.copyDueAt(pending) && !d.waitsForSpool(pending) {
 			due = append(due, pending)
 		}
 	}
-	for notices := range slices.Chunk(due, maxNoticesPerCall) {
-		for range d.server.endpointConns.Idle(d.peer()) {
-			d.callOverUsed(notices)
-		}
-	}
+	return due
 }
 
-// callOverUsed sends notices over one used connection, if one is ready.
-func (d *discoveryClient) callOverUsed(notices []*pendingNotice) {
+// callOverUsed sends notices over one used connection, and reports whether one was ready.
+func (d *discoveryClient) callOverUsed(notices []*pendingNotice) (sent bool) {
 	call := &noticeCall{timeoutAt: d.server.now + maxRoundTrip, notices: notices}
 	var contents []protocol.Notice
 	for _, pending := range notices {
@@ -70,13 +93,14 @@
 	call.exchange = &endpointconn.Exchange{Peer: d.peer(), OverUsedConn: true, NeedsBody: true, Request: protocol.EncodeNotices(d.server.deployment.Discovery, contents),
 		OnResponseStart: func(bool) {}, OnEnd: func(answer protocol.Response, err error) { d.usedConnAnswered(call, answer, err) }}
 	d.usedConnCalls = append(d.usedConnCalls, call)
+	for _, pending := range notices {
+		pending.usedCopies++ // usedConnAnswered takes it back if the call fails, at once or later
+	}
 	if d.server.endpointConns.Start(call.exchange); !call.exchange.IsSent() {
-		return
+		return false
 	}
 	d.server.log.Debug("notices sent over a used connection", "count", len(notices), "first", notices[0].content.ID, "failed_calls", d.failedCalls)
-	for _, pending := range notices {
-		pending.sentOverUsed = true
-	}
+	return true
 }
 
 // usedConnAnswered handles the end of a call over a used connection. If it failed, its notices may have been lost.
@@ -86,7 +110,7 @@
 		return
 	}
 	for _, pending := range call.notices {
-		pending.sentOverUsed = false
+		pending.usedCopies--
 	}
 }
 
