A poll that a signal interrupts no longer counts as nothing to read

A connection could be closed over a request that was unread, or its replies be dropped at a half-close, when poll returned EINTR. TestInterruptedPollKeepsConnection fails without it (2 of 2 cases). Not seen in the incident: the kernel itself returns EINTR here only when nothing is ready.

--- a/transport/crossings_test.go
+++ b/transport/crossings_test.go
@@ -373,3 +373,31 @@
 		}
 	}
 }
+
+// TestInterruptedPollKeepsConnection guards against a connection that is closed over an unread request because a signal interrupted poll, which
+// was taken for "nothing to read".
+func TestInterruptedPollKeepsConnection(t *testing.T) {
+	for _, interruptions := range []int{1, 1000} {
+		accepted := make(acceptedHandlers, 1)
+		_, addr, resume := driverWithBlockedPoller(t, accepted.accept)
+		peer := dial(t, addr)
+		h := accepted.next(t)
+		io.WriteString(peer, "request")
+		if !port.WaitAcknowledged(peer) {
+			t.Fatal("the request did not arrive")
+		}
+		left := interruptions
+		poll = func(descriptors []unix.PollFd, timeout int) (int, error) {
+			if left--; left >= 0 {
+				return -1, unix.EINTR
+			}
+			return unix.Poll(descriptors, timeout)
+		}
+		closed := h.conn.CloseIf(alwaysTrue)
+		poll = unix.Poll
+		if closed {
+			t.Errorf("closed over unread bytes after %d interruptions of poll", interruptions)
+		}
+		resume()
+	}
+}
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -232,11 +232,28 @@
 	return pending
 }
 
-// isReadable reports whether a read on a descriptor would return data or end of file. It consumes nothing.
+// isReadable reports whether a read on a descriptor would return data or end of file. It consumes nothing. If the system does not tell, it
+// returns true, so that no connection is closed over bytes that may be unread.
 func isReadable(fd int) bool {
 	pollFds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}}
-	n, err := unix.Poll(pollFds, 0)
-	return err == nil && n > 0 && pollFds[0].Revents&unix.POLLNVAL == 0
+	n, err := pollNow(pollFds)
+	return err != nil || n > 0 && pollFds[0].Revents&unix.POLLNVAL == 0
+}
+
+var poll = unix.Poll // replaced by tests
+
+// maxInterruptions bounds how often poll is called again because of signals.
+const maxInterruptions = 16
+
+// pollNow returns the events that descriptors have now.
+func pollNow(pollFds []unix.PollFd) (n int, err error) {
+	for range maxInterruptions {
+		n, err = poll(pollFds, 0)
+		if !errors.Is(err, unix.EINTR) {
+			break
+		}
+	}
+	return n, err
 }
 
 // Close closes the listener and all connections. Connections that are still being dialed are not added to nbio any
@@ -488,6 +505,29 @@
 	return true, false
 }
 
+// WhileHandlerIdle runs f if the handler is not running, whether or not received bytes are unread, and reports whether it ran f. The handler
+// does not run during f.
+func (c *Conn) WhileHandlerIdle(f func()) bool {
+	if !c.handlerLock.TryLock() {
+		return false
+	}
+	defer c.handlerLock.Unlock()
+	if c.closeReported || c.isClosing() {
+		return false
+	}
+	f()
+	return true
+}
+
+// CloseWrite ends the sending side of an open connection. Received bytes are still read.
+func (c *Conn) CloseWrite() {
+	c.stateLock.Lock()
+	defer c.stateLock.Unlock()
+	if c.raw != nil && !c.descriptorReleased {
+		_ = unix.Shutdown(c.raw.Hash(), unix.SHUT_WR) // an error means that the connection has ended
+	}
+}
+
 // HasUnread reports whether received bytes or an end of file are unread or being handled.
 func (c *Conn) HasUnread() bool {
 	if !c.handlerLock.TryLock() {
