An exit closes its clients early enough for hold-ups, and goes on delivering without them

Callers saw requests that the courier had read cut off by SIGKILL, up to 40 at once.

Now the times count from the signal. What is still open 0.2 s after reading has stopped is rejected while the event loop goes on, in place of a loop of 30 ms that stopped over what was left (seen: left=4).

Related: a request that is rejected before it is complete gets one reply only, and its rest is read and dropped, so that no reset overtakes the reply; a message that was accepted before and is submitted again at the exit gets +OK, not -BUSY.

--- a/cmd/pineport/run.go
+++ b/cmd/pineport/run.go
@@ -27,10 +27,6 @@
 	"pineport/transport"
 )
 
-// shutdownGrace is how long a graceful shutdown serves clients; the exit then takes 0.23 s at the most. The platform sends SIGKILL 3.7 s
-// after SIGTERM at the earliest, and the process may be held up for 0.1 s.
-const shutdownGrace = 3350 * time.Millisecond
-
 // logFlushTimeout bounds how long the exiting process waits until its last log lines are written.
 const logFlushTimeout = 50 * time.Millisecond
 
@@ -68,12 +64,12 @@
 	}
 	logWarnings(log.Logger, dep)
 	applyLimits(dep)
-	proc := &process{clockSource: clockSource, sources: sources, dep: dep, log: log, adminServer: adminServer, stop: make(chan struct{}), reloads: make(chan *config.Deployment)}
+	proc := &process{clockSource: clockSource, sources: sources, dep: dep, log: log, adminServer: adminServer, stop: server.NewStopRequest(), reloads: make(chan *config.Deployment)}
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
 		<-signals
-		close(proc.stop)
+		proc.stop.Make()
 	}()
 	go proc.handleHangups(hangups)
 	for {
@@ -101,7 +97,7 @@
 	dep         *config.Deployment
 	log         *logging.Log
 	adminServer *admin.Server // nil: no admin address is configured
-	stop        chan struct{}
+	stop        *server.StopRequest
 	reloads     chan *config.Deployment
 	server      atomic.Pointer[server.Server]
 	member      atomic.Pointer[gossip.Member] // nil while this process is not a member of the fleet
@@ -134,7 +130,7 @@
 	defer cancel()
 	go func() {
 		select {
-		case <-p.stop:
+		case <-p.stop.Made():
 			cancel()
 		case <-ctx.Done():
 		}
@@ -176,7 +172,7 @@
 	if err := stateDir.Serve(srv.SuccessorReady); err != nil {
 		log.Warn("handoff unavailable while this process runs", "error", err)
 	}
-	return srv.Run(p.stop, p.reloads, shutdownGrace)
+	return srv.Run(p.stop, p.reloads, server.ShutdownWithinKillDelay())
 }
 
 // anchorRetryInterval is the interval between attempts to store the clock anchor while storing it fails.
--- a/server/admin.go
+++ b/server/admin.go
@@ -172,7 +172,7 @@
 	if draining {
 		a.drainAt = a.server.now + drainStart
 	}
-	a.serving.Store(!draining && a.server.shutdownBy == never)
+	a.serving.Store(!draining && !a.server.shutdown.isRequested())
 }
 
 func (a *adminState) isDraining() bool { return a.drainAt < never }
--- a/server/clientconn/conn.go
+++ b/server/clientconn/conn.go
@@ -69,6 +69,7 @@
 	pendingReplies atomic.Int64 // number of commands without a reply
 	hasSentCommand atomic.Bool  // a command or a parse error has been received
 	partialSince   atomic.Int64 // time at which the incomplete command started; 0 if there is none
+	rejected       atomic.Bool  // the incomplete command was rejected: what follows is read and dropped
 
 	// Accessed only by the event loop.
 	connectedAt       dispatch.Micros
@@ -85,6 +86,9 @@
 
 // Data implements transport.Handler.
 func (c *Conn) Data(_ *transport.Conn, b []byte) {
+	if c.rejected.Load() {
+		return
+	}
 	if c.inputFailed { // reading an unlimited amount of unparsable input would take time from other clients
 		if c.discardedBytes += len(b); c.discardedBytes > maxUnreadReplies && !c.HasPendingReplies() {
 			c.conn.Close()
@@ -173,6 +177,11 @@
 	return !c.HasPendingReplies() && !c.HasPartialRequest() && c.conn.Flushed()
 }
 
+// isSettled reports whether nothing of what was read still needs a reply, and the socket has accepted all replies.
+func (c *Conn) isSettled() bool {
+	return !c.HasPendingReplies() && (!c.HasPartialRequest() || c.rejected.Load()) && c.conn.Flushed()
+}
+
 // isStuck reports whether a command has been incomplete for longer than partialTimeout and no replies are pending.
 func (c *Conn) isStuck(now dispatch.Micros) bool {
 	since := dispatch.Micros(c.partialSince.Load())
--- a/server/clientconn/set.go
+++ b/server/clientconn/set.go
@@ -168,36 +168,48 @@
 	return remaining == 0
 }
 
-// AllAnswered reports whether no read is in progress, no command is incomplete and the sockets have taken the replies to all commands that
-// were read. The result stays true only if reading from the connections has been stopped.
+// AllAnswered reports whether no read is in progress, no command is incomplete, except for rejected ones, and the sockets have taken the
+// replies to all commands that were read. The result stays true only if reading from the connections has been stopped.
 func (s *Set) AllAnswered() bool {
 	for conn := range s.conns {
-		if !conn.conn.IsHandlerIdle() || !conn.isIdle() {
+		if !conn.conn.IsHandlerIdle() || !conn.isSettled() {
 			return false
 		}
 	}
 	return true
 }
 
-// ReplyToIncomplete writes a reply to each command of which only a part has been read, and returns their number.
-func (s *Set) ReplyToIncomplete(reply string) (count int) {
+// RejectIncomplete writes a reply to each command of which only a part has been read, and returns their number. The rest of such a command
+// is read and dropped, so that it gets no second reply. Commands that are being read right now are left for a later call.
+func (s *Set) RejectIncomplete(reply string) (count int) {
 	for conn := range s.conns {
-		if conn.HasPartialRequest() && !conn.HasPendingReplies() {
+		conn.conn.WhileHandlerIdle(func() {
+			if !conn.HasPartialRequest() || conn.HasPendingReplies() || conn.rejected.Load() {
+				return
+			}
+			conn.rejected.Store(true)
 			_ = conn.conn.Write([]byte(reply)) // a failure means that the client is gone
 			count++
-		}
+		})
 	}
 	return count
 }
 
-// AllFlushed reports whether the sockets have taken all replies.
-func (s *Set) AllFlushed() bool {
+// CloseAll closes all connections after reading has been stopped, and returns how many of them CloseAnswered had left open. Connections whose
+// command was rejected before it was complete are closed for writing only, so that its rest causes no reset, which could overtake the reply.
+func (s *Set) CloseAll() (left int) {
 	for conn := range s.conns {
-		if !conn.conn.Flushed() {
-			return false
+		switch {
+		case conn.closedForShutdown:
+			continue
+		case conn.rejected.Load():
+			conn.conn.CloseWrite()
+		default:
+			conn.conn.Close()
 		}
+		left++
 	}
-	return true
+	return left
 }
 
 // Unanswered returns the number of complete commands without a reply.
--- a/server/clientconn/set_test.go
+++ b/server/clientconn/set_test.go
@@ -9,12 +9,14 @@
 	"time"
 
 	"pineport/dispatch"
+	"pineport/testbed/port"
 	"pineport/transport"
 )
 
 // testSet is a Set that serves a real listener. The test receives its events and sets its clock.
 type testSet struct {
 	*Set
+	driver  *transport.Driver
 	address string
 	events  chan Event
 	now     atomic.Int64
@@ -34,6 +36,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(driver.Close)
+	s.driver = driver
 	s.address = listener.Addr().String()
 	return s
 }
@@ -199,3 +202,35 @@
 		}
 	}
 }
+
+// TestRejectedPartGetsOneReply guards against a second reply to a request that was rejected before it was complete: a client would take it
+// for the reply to its next request. What follows the reply is read and dropped, so that the end of the connection is no reset.
+func TestRejectedPartGetsOneReply(t *testing.T) {
+	const reply = "-BUSY 0\r\n"
+	s := openSet(t, Limits{Conns: 4, Admitted: 4, PartialBytes: 1 << 20})
+	client, _ := s.connect(t)
+	io.WriteString(client, ping[:6])
+	waitForPartial(t, s)
+	s.driver.StopReading()
+	for deadline := time.Now().Add(5 * time.Second); s.RejectIncomplete(reply) == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the incomplete command was not rejected within 5 s")
+		}
+	}
+	if again := s.RejectIncomplete(reply); again != 0 || !s.AllAnswered() {
+		t.Errorf("rejected %d commands again; all answered: %v", again, s.AllAnswered())
+	}
+	io.WriteString(client, ping[6:]+ping)
+	if !port.WaitAcknowledged(client) {
+		t.Fatal("the rest did not arrive")
+	}
+	if left := s.CloseAll(); left != 1 {
+		t.Errorf("%d connections were left to close, want 1", left)
+	}
+	if got, err := io.ReadAll(client); string(got) != reply || err != nil {
+		t.Errorf("got %q, %v", got, err)
+	}
+	if len(s.events) > 0 {
+		t.Errorf("a rejected command was passed on: %+v", <-s.events)
+	}
+}
--- a/server/clients.go
+++ b/server/clients.go
@@ -132,10 +132,6 @@
 		reply.text, reply.close = protocol.ReplyBusy(1), true
 		return
 	}
-	if s.rejecting {
-		reply.text = protocol.ReplyBusy(0)
-		return
-	}
 	request, err := protocol.ReadEnqueue(arguments)
 	if err == nil {
 		err = s.checkEnqueue(request)
@@ -145,7 +141,11 @@
 		reply.text = protocol.ReplyError(err.Error())
 		return
 	}
-	if !s.acceptedBefore(request, reply) {
+	switch {
+	case s.acceptedBefore(request, reply):
+	case s.shutdown.rejecting:
+		reply.text = protocol.ReplyBusy(0)
+	default:
 		s.acceptMessage(request, reply)
 	}
 }
--- a/server/recovery.go
+++ b/server/recovery.go
@@ -37,8 +37,8 @@
 	s.events = append(s.events, update)
 	s.discovery.resume()
 	s.admin.replayDisabled()
-	if s.shutdownBy < never {
-		s.events = append(s.events, dispatch.ShutdownScheduled{At: s.shutdownBy})
+	if s.shutdown.isRequested() {
+		s.events = append(s.events, dispatch.ShutdownScheduled{At: s.shutdown.endAt})
 	}
 	s.dispatcherRestarts++
 	for _, message := range unfinished {
--- a/server/server.go
+++ b/server/server.go
@@ -81,18 +81,14 @@
 	nextDemandsAt      dispatch.Micros
 	grantedUntil       dispatch.Micros // until then, other couriers may use half of each quota share, granted by an earlier process or dispatcher
 	spoolRetryAt       dispatch.Micros
-	shutdownBy         dispatch.Micros // when the exit starts; during the exit, the time of the next check
-	exiting            bool
-	rejecting          bool            // at the end of the exit: all further requests are rejected
-	stopReadingAt      dispatch.Micros // during the exit, when reading stops
-	shutdownDrainAt    dispatch.Micros // during the shutdown, when idle client connections are closed; the drain by operators is adminState.drainAt
+	shutdown           shutdown
 }
 
 // New returns an event loop with an open spool. unfinished are the messages read from that spool. inherited
 // is the state handed over by a predecessor, or nil. Times in both are those of courierClock.
 func New(dep *config.Deployment, messageSpool *spool.Spool, unfinished []*spool.Message, inherited *handoff.State, courierClock *clock.Clock, log *slog.Logger) (*Server, error) {
 	s := &Server{deployment: dep, log: log, spool: messageSpool, queue: make(chan event, queueSize), control: make(chan event, controlQueueSize),
-		courierClock: courierClock, timerAt: never, shutdownBy: never, shutdownDrainAt: never, messages: map[dispatch.MessageID]*message{},
+		courierClock: courierClock, timerAt: never, shutdown: shutdown{drainAt: never, closeAt: never, endAt: never}, messages: map[dispatch.MessageID]*message{},
 		endpoints: map[dispatch.EndpointID]protocol.Endpoint{}, suspects: map[dispatch.EndpointID]bool{}, retryAfter: map[string]dispatch.Micros{}, destinations: map[int]dispatch.Micros{}}
 	s.tracer = log.With(logging.Component, "decisions")
 	s.now = s.clock()
@@ -128,12 +124,13 @@
 	return s, nil
 }
 
-// Run listens and runs the event loop until stop is closed, and then shuts down gracefully within grace. It
+// Run listens and runs the event loop until stop is requested, and then shuts down gracefully at the given times. It
 // applies reloaded configurations, except for settings that need a restart.
-func (s *Server) Run(stop <-chan struct{}, reloads <-chan *config.Deployment, grace time.Duration) error {
-	if err := s.startServing(stop); err != nil {
+func (s *Server) Run(stop *StopRequest, reloads <-chan *config.Deployment, times ShutdownTimes) error {
+	if err := s.startServing(stop.Made()); err != nil {
 		return err
 	}
+	stopMade := stop.Made()
 	timer := time.NewTimer(0)
 	for {
 		began := s.clock()
@@ -146,9 +143,9 @@
 		case reloaded := <-reloads:
 			next = configReloaded{reloaded}
 		case next = <-s.control:
-		case <-stop:
-			stop = nil
-			s.beginShutdown(grace)
+		case <-stopMade:
+			stopMade = nil
+			s.beginShutdown(times, stop.age())
 		}
 		s.handle(next)
 		s.catchUpAfterPause(due)
@@ -159,7 +156,7 @@
 			s.driver.Close()
 			return ErrSuccessorLost
 		}
-		if s.tryExit() {
+		if s.advanceShutdown() {
 			return s.finishShutdown()
 		}
 	}
--- a/server/step.go
+++ b/server/step.go
@@ -9,7 +9,7 @@
 
 // due returns when the next step is due without an event.
 func (s *Server) due() dispatch.Micros {
-	at := min(s.timerAt, s.endpointConns.Due(), s.clients.Due(), s.discovery.due(), s.snapshots.due(), s.spoolDue(), s.admin.due(), s.shutdownBy, s.shutdownDrainAt)
+	at := min(s.timerAt, s.endpointConns.Due(), s.clients.Due(), s.discovery.due(), s.snapshots.due(), s.spoolDue(), s.admin.due(), s.shutdown.due())
 	for _, attempt := range s.inFlight {
 		at = min(at, attempt.waitUntil)
 	}
