--- a/server/notices_used.go
+++ b/server/notices_used.go
@@ -20,7 +20,7 @@
 	newConnTimeout = 150 * 1000
 	// urgentLead is how long before the deadline of its message a notice becomes urgent. From then on one copy is sent over a used connection
 	// at once: waiting until one is free, a hold-up of the process and the way to discovery then fit in the time that is left.
-	urgentLead = (platform.MaxRoundTrip + platform.MaxHoldUp - platform.FinalAnswerSlack) / time.Microsecond
+	urgentLead = dispatch.Micros((platform.MaxRoundTrip + platform.MaxHoldUp + maxCatchUp - platform.FinalAnswerSlack) / time.Microsecond)
 	// maxUsedCopies is the number of used connections over which a notice is sent, as one of them may have fallen silent.
 	maxUsedCopies = 2
 	// usedConnRetry is the interval between attempts to send over a used connection that is not ready yet.
@@ -29,7 +29,7 @@
 
 // urgentAt returns when a notice becomes urgent.
 func (p *pendingNotice) urgentAt() dispatch.Micros {
-	return max(p.addedAt, p.expiresAt-noticeLifetime-dispatch.Micros(urgentLead))
+	return max(p.addedAt, p.expiresAt-noticeLifetime-urgentLead)
 }
 
 // copyDueAt returns when the next copy of a notice is to be sent over a used connection: at once while calls over new connections fail.
--- a/server/queue.go
+++ b/server/queue.go
@@ -18,12 +18,24 @@
 // hour bounds the wait of the event loop, because the constant never does not fit a time.Duration.
 const hour = 3600 * 1000 * 1000
 
+// The time for catching up after a pause is taken from what the platform leaves for a final answer, so it is short.
+const (
+	catchUpWait   = 10 * time.Millisecond // for the poller
+	catchUpRounds = 3
+	maxCatchUp    = catchUpRounds * catchUpWait
+)
+
 // catchUpAfterPause handles events that arrived while this process was paused, before any timeout is
 // checked. Otherwise the pause would look like endpoints that do not answer. It waits for the poller up to
-// four times, as long as events arrive.
+// catchUpRounds times, as long as events arrive.
 func (s *Server) catchUpAfterPause(due dispatch.Micros) {
-	for rounds := 0; s.clock()-due > pauseThreshold && rounds < 4; rounds++ {
-		time.Sleep(pauseThreshold / 2 * time.Microsecond)
+	late := s.clock() - due
+	if late <= pauseThreshold {
+		return
+	}
+	s.log.Warn("process held up", "late_ms", late/1000)
+	for range catchUpRounds {
+		time.Sleep(catchUpWait)
 		if len(s.queue) == 0 {
 			return
 		}
