An exit that comes late still answers what it has read, and waits are bounded by the clock

The log shows "rejecting open requests unanswered=3 queued=6" and the exit in the same step, 3.54 s after SIGTERM: all times of the closing had passed while StopAccepting slept 50 times 1 ms, each of them far longer on the busy machine, as accept4 failed and the queue did not empty.

StopAccepting, admission and CloseAfter bound their waits by the clock in place of a count of sleeps. TestLateExitAnswersWhatItRead fails without it.

--- a/server/answer_test.go
+++ b/server/answer_test.go
@@ -108,7 +108,7 @@
 	if got := client.reply(); got != "+OK" {
 		t.Fatalf("got reply %q", got)
 	}
-	s.shutdown.rejecting = true
+	s.shutdown.rejectUntil = s.clock() + hour
 	for id, want := range map[string]string{"one": "+OK", "two": "-BUSY"} {
 		s.handle(clientEvent{client.submit(t, s, id)})
 		s.step()
@@ -117,3 +117,24 @@
 		}
 	}
 }
+
+// TestLateExitAnswersWhatItRead guards against requests in the event queue that get no reply, because the event loop, on a busy machine, comes to
+// the end of the shutdown when all of its times have passed.
+func TestLateExitAnswersWhatItRead(t *testing.T) {
+	s := steppedServer(t, openWorld(t, 0))
+	client := connectClient(t, s)
+	request := client.submit(t, s, "one")
+	s.now = s.clock()
+	s.shutdown.closing, s.shutdown.closeAt, s.shutdown.stopReadingAt = true, s.now, s.now-hour
+	s.shutdown.endAt, s.shutdown.latestAt = s.now-hour, s.now-hour
+	s.queue <- clientEvent{request}
+	if s.advanceShutdown() {
+		t.Fatal("the event loop exited without a reply to a request it had read")
+	}
+	if !runUntilExit(t, s, noCondition) {
+		t.Fatal("the event loop did not exit")
+	}
+	if got := client.reply(); got != "-BUSY" {
+		t.Errorf("got reply %q", got)
+	}
+}
--- a/server/clients.go
+++ b/server/clients.go
@@ -143,7 +143,7 @@
 	}
 	switch {
 	case s.acceptedBefore(request, reply):
-	case s.shutdown.rejecting:
+	case s.shutdown.isRejecting():
 		reply.text = protocol.ReplyBusy(0)
 	default:
 		s.acceptMessage(request, reply)
--- a/server/crossings_test.go
+++ b/server/crossings_test.go
@@ -633,7 +633,7 @@
 // scheduleExit sets the deadline of the shutdown to now.
 func scheduleExit(s *Server) {
 	s.now = s.clock()
-	s.shutdown.closeAt, s.shutdown.endAt = s.now, s.now
+	s.shutdown.closeAt, s.shutdown.endAt, s.shutdown.latestAt = s.now, s.now, s.now+hour
 }
 
 // TestRequestDuringShutdownGetsReply. Failure: a request that was unread in the socket at the last check
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -108,7 +108,7 @@
 	t.Helper()
 	stop, ended := NewStopRequest(), make(chan error)
 	go func() {
-		ended <- s.Run(stop, nil, ShutdownTimes{CloseClients: 50 * time.Millisecond, End: 50 * time.Millisecond})
+		ended <- s.Run(stop, nil, ShutdownTimes{CloseClients: 50 * time.Millisecond, End: 50 * time.Millisecond, Latest: time.Second})
 	}()
 	t.Cleanup(func() {
 		stop.Make()
--- a/server/shutdown.go
+++ b/server/shutdown.go
@@ -37,6 +37,8 @@
 	CloseClients time.Duration
 	// End is when the process ends. Between CloseClients and End it goes on with the messages that it has.
 	End time.Duration
+	// Latest is when the process ends at the latest, if hold-ups have delayed it.
+	Latest time.Duration
 }
 
 // finishTimeout is the time for the last snapshot, the spool and the log at the end of the process.
@@ -54,6 +56,7 @@
 	return ShutdownTimes{
 		CloseClients: platform.KillDelay - closeHoldUps*platform.MaxHoldUp - maxCloseTime*time.Microsecond - finishTimeout,
 		End:          platform.KillDelay - endHoldUps*platform.MaxHoldUp - finishTimeout,
+		Latest:       platform.KillDelay - finishTimeout,
 	}
 }
 
@@ -84,10 +87,11 @@
 	closeAt       dispatch.Micros // when closing the clients begins; after that, the time of the next check
 	stopReadingAt dispatch.Micros // while the clients are being closed: when reading stops
 	endAt         dispatch.Micros // when the process ends
+	latestAt      dispatch.Micros // when the process ends even if requests are open
+	rejectUntil   dispatch.Micros // end of rejecting; 0 before it has begun
 	requestedAt   dispatch.Micros
 	closing       bool // accepting has stopped, and the clients are being closed or are closed
 	clientsClosed bool
-	rejecting     bool // all further requests are rejected
 }
 
 // isRequested reports whether the shutdown has been requested.
@@ -103,6 +107,7 @@
 	s.shutdown.requestedAt = requestedAt
 	s.shutdown.closeAt = requestedAt + dispatch.Micros(times.CloseClients.Microseconds())
 	s.shutdown.endAt = requestedAt + dispatch.Micros(times.End.Microseconds())
+	s.shutdown.latestAt = requestedAt + dispatch.Micros(times.Latest.Microseconds())
 	s.shutdown.drainAt = requestedAt + drainDelay
 	s.admin.serving.Store(false)
 	s.events = append(s.events, dispatch.ShutdownScheduled{At: s.shutdown.endAt})
@@ -164,24 +169,31 @@
 	if s.closeAnsweredClients() || s.allClientsAnswered() {
 		return true
 	}
-	if s.now >= s.shutdown.stopReadingAt+replyTimeout {
-		s.rejectRest()
+	if s.now < s.shutdown.stopReadingAt+replyTimeout {
+		return false
 	}
-	return s.now >= s.shutdown.stopReadingAt+replyTimeout+rejectTimeout
+	return s.rejectRest()
 }
 
 // rejectRest rejects the requests that have been read, whole or in part, and that have no reply at the end of the closing. Those in the event
-// queue are rejected as they are handled. Incident: on a loaded machine the process ended over requests in its event queue.
-func (s *Server) rejectRest() {
-	if !s.shutdown.rejecting {
-		s.shutdown.rejecting = true
+// queue are rejected as they are handled, so the first call never reports that the time for it is over, however late it comes. Incidents: on a
+// loaded machine the process ended over requests in its event queue, and again when all of its times had passed in one step.
+func (s *Server) rejectRest() (done bool) {
+	if s.shutdown.rejectUntil == 0 {
+		s.shutdown.rejectUntil = min(s.now+rejectTimeout, s.shutdown.latestAt)
 		s.log.Warn("rejecting open requests", "unanswered", s.clients.Unanswered(), "queued", len(s.queue))
+	} else {
+		done = s.now >= s.shutdown.rejectUntil
 	}
 	if incomplete := s.clients.RejectIncomplete(protocol.ReplyBusy(0)); incomplete > 0 {
 		s.log.Warn("incomplete requests rejected", "count", incomplete)
 	}
+	return done
 }
 
+// isRejecting reports whether all further requests are rejected.
+func (d *shutdown) isRejecting() bool { return d.rejectUntil > 0 }
+
 // finishClosing closes the connections that are left: those with bytes that were not read, and those whose request was rejected before
 // it was complete.
 func (s *Server) finishClosing() {
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -19,6 +19,8 @@
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
 	"golang.org/x/sys/unix"
+
+	"pineport/clock"
 )
 
 // Handler receives the events of one connection. Its methods are never called concurrently, and Closed is the
@@ -157,7 +159,7 @@
 		if wasEmpty {
 			l.driver.acceptWait.queueWasEmpty()
 		}
-		for waited := time.Duration(0); err == nil && !l.admit() && waited < admitTimeout; waited += admitTimeout / 50 {
+		for began := clock.Instant(); err == nil && !l.admit() && clock.Since(began) < admitTimeout; {
 			time.Sleep(admitTimeout / 50)
 		}
 		switch {
@@ -201,7 +203,7 @@
 // the connections that are already in the accept queue be accepted. Incident: the kernel reset connections that
 // were still queued when the listener was closed, so a request sent immediately after connecting got no response.
 func (d *Driver) StopAccepting() {
-	for waited := time.Duration(0); waited < admitTimeout && d.hasPending(); waited += admitTimeout / 50 {
+	for began := clock.Instant(); d.hasPending() && clock.Since(began) < admitTimeout; {
 		time.Sleep(admitTimeout / 50)
 	}
 	d.stoppedAccepting.Store(true)
@@ -418,7 +420,7 @@
 
 // closeBetweenRequests closes the connection when no request is open, after maxCloseDelay in any case.
 func (c *Conn) closeBetweenRequests() {
-	for waited := time.Duration(0); waited < maxCloseDelay && !c.isClosing(); waited += closeRetryDelay {
+	for began := clock.Instant(); !c.isClosing() && clock.Since(began) < maxCloseDelay; {
 		if c.CloseIf(func() bool { return !c.hasPendingReplies() && !c.hasPartialRequest() }) {
 			return
 		}
