Only the rest of a rejected request is dropped, not what comes behind it

The rest of the rejected command alone is dropped now. A command that was read with it is passed on and rejected; later ones stay unread, so that their client sends them again.

--- a/server/clientconn/conn.go
+++ b/server/clientconn/conn.go
@@ -69,7 +69,7 @@
 	pendingReplies atomic.Int64 // number of commands without a reply
 	hasSentCommand atomic.Bool  // a command or a parse error has been received
 	partialSince   atomic.Int64 // time at which the incomplete command started; 0 if there is none
-	rejected       atomic.Bool  // the incomplete command was rejected: what follows is read and dropped
+	rejected       atomic.Bool  // the incomplete command was rejected: its rest is read and dropped
 
 	// Accessed only by the event loop.
 	connectedAt       dispatch.Micros
@@ -86,9 +86,6 @@
 
 // Data implements transport.Handler.
 func (c *Conn) Data(_ *transport.Conn, b []byte) {
-	if c.rejected.Load() {
-		return
-	}
 	if c.inputFailed { // reading an unlimited amount of unparsable input would take time from other clients
 		if c.discardedBytes += len(b); c.discardedBytes > maxUnreadReplies && !c.HasPendingReplies() {
 			c.conn.Close()
@@ -101,6 +98,17 @@
 	}
 	arrivedAt := c.partialArrival
 	commands, err := c.parser.Feed(b)
+	if c.rejected.Load() {
+		if len(commands) == 0 && err != nil {
+			c.inputFailed = true
+			c.releasePartial()
+		}
+		if len(commands) == 0 {
+			return
+		}
+		c.rejected.Store(false)
+		commands = commands[1:] // the rejected one has its reply
+	}
 	if len(commands) > 0 {
 		c.partialArrival = readAt // what is incomplete now began in this read
 	}
--- a/server/clientconn/set.go
+++ b/server/clientconn/set.go
@@ -180,7 +180,7 @@
 }
 
 // RejectIncomplete writes a reply to each command of which only a part has been read, and returns their number. The rest of such a command
-// is read and dropped, so that it gets no second reply. Commands that are being read right now are left for a later call.
+// is read and dropped, so that it gets no second reply; what comes behind it is not. Commands that are being read right now are left for a later call.
 func (s *Set) RejectIncomplete(reply string) (count int) {
 	for conn := range s.conns {
 		conn.conn.WhileHandlerIdle(func() {
@@ -195,19 +195,18 @@
 	return count
 }
 
-// CloseAll closes all connections after reading has been stopped, and returns how many of them CloseAnswered had left open. Connections whose
-// command was rejected before it was complete are closed for writing only, so that its rest causes no reset, which could overtake the reply.
+// CloseAll closes all connections after reading has been stopped, and returns how many of them CloseAnswered had left open. It leaves open
+// those whose command was rejected before it was complete, as a reset could overtake the reply: CloseAnswered closes them once the rest of the
+// command has been read.
 func (s *Set) CloseAll() (left int) {
 	for conn := range s.conns {
-		switch {
-		case conn.closedForShutdown:
+		if conn.closedForShutdown {
 			continue
-		case conn.rejected.Load():
-			conn.conn.CloseWrite()
-		default:
-			conn.conn.Close()
 		}
 		left++
+		if !conn.rejected.Load() {
+			conn.conn.Close()
+		}
 	}
 	return left
 }
--- a/server/shutdown.go
+++ b/server/shutdown.go
@@ -130,7 +130,11 @@
 	if s.shutdown.closing && !s.shutdown.clientsClosed && s.closeClients() {
 		s.finishClosing()
 	}
-	return s.shutdown.clientsClosed && (s.now >= s.shutdown.endAt || handedOver)
+	if !s.shutdown.clientsClosed {
+		return false
+	}
+	s.closeRejected()
+	return s.now >= s.shutdown.latestAt || (s.now >= s.shutdown.endAt || handedOver) && s.allClientsAnswered()
 }
 
 // drainIdleClients closes idle client connections, and new ones a little later.
@@ -194,15 +198,24 @@
 // isRejecting reports whether all further requests are rejected.
 func (d *shutdown) isRejecting() bool { return d.rejectUntil > 0 }
 
-// finishClosing closes the connections that are left: those with bytes that were not read, and those whose request was rejected before
-// it was complete.
+// finishClosing closes the connections that are left, but for those whose request was rejected before it was complete.
 func (s *Server) finishClosing() {
 	s.driver.StopReading()
 	left := s.clients.CloseAll()
-	s.shutdown.clientsClosed, s.shutdown.closeAt = true, never
+	s.shutdown.clientsClosed = true
 	s.log.Info("clients closed", "after_ms", (s.clock()-s.shutdown.requestedAt)/1000, "not_at_rest", left, "unanswered", s.clients.Unanswered(), "unfinished", len(s.messages), "in_flight", len(s.inFlight))
 }
 
+// closeRejected closes the connections whose request was rejected before it was complete, once its rest has been read.
+func (s *Server) closeRejected() {
+	s.shutdown.closeAt = never
+	if s.clients.Len() > 0 {
+		s.clients.RejectIncomplete(protocol.ReplyBusy(0))
+		s.clients.CloseAnswered()
+		s.shutdown.closeAt = s.now + closeInterval
+	}
+}
+
 // closeAnsweredClients closes the connections without pending replies. It reports whether no connection is
 // left and the event queue is empty.
 func (s *Server) closeAnsweredClients() bool {
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -521,15 +521,6 @@
 	return true
 }
 
-// CloseWrite ends the sending side of an open connection. Received bytes are still read.
-func (c *Conn) CloseWrite() {
-	c.stateLock.Lock()
-	defer c.stateLock.Unlock()
-	if c.raw != nil && !c.descriptorReleased {
-		_ = unix.Shutdown(c.raw.Hash(), unix.SHUT_WR) // an error means that the connection has ended
-	}
-}
-
 // HasUnread reports whether received bytes or an end of file are unread or being handled.
 func (c *Conn) HasUnread() bool {
 	if !c.handlerLock.TryLock() {
