--- a/server/notices_used.go
+++ b/server/notices_used.go
@@ -38,13 +38,13 @@
 	if d.failedCalls > 0 {
 		late = pending.addedAt
 	}
-	switch pending.usedCopies {
-	case 0:
+	switch {
+	case pending.usedCopies >= maxUsedCopies:
+		return never
+	case pending.usedCopies == 0:
 		return min(late, pending.urgentAt())
-	case 1:
-		return late
 	}
-	return never
+	return late
 }
 
 // overUsedDue returns when the next notice is to be sent over a used connection.
