--- a/transport/crossings_test.go
+++ b/transport/crossings_test.go
@@ -387,16 +387,17 @@
 			t.Fatal("the request did not arrive")
 		}
 		left := interruptions
-		poll = func(descriptors []unix.PollFd, timeout int) (int, error) {
+		interrupted := func(descriptors []unix.PollFd, timeout int) (int, error) {
 			if left--; left >= 0 {
 				return -1, unix.EINTR
 			}
 			return unix.Poll(descriptors, timeout)
 		}
-		closed := h.conn.CloseIf(alwaysTrue)
-		poll = unix.Poll
-		if closed {
-			t.Errorf("closed over unread bytes after %d interruptions of poll", interruptions)
+		if !isReadableBy(interrupted, h.conn.openConn().Hash()) {
+			t.Errorf("unread bytes are not seen after %d interruptions of poll", interruptions)
+		}
+		if h.conn.CloseIf(alwaysTrue) {
+			t.Error("closed over unread bytes")
 		}
 		resume()
 	}
--- a/transport/halfclose.go
+++ b/transport/halfclose.go
@@ -67,7 +67,7 @@
 // peerClosedWrite reports whether the peer has shut down its write side and has not reset the connection.
 func peerClosedWrite(descriptor int) bool {
 	pollFds := []unix.PollFd{{Fd: int32(descriptor), Events: unix.POLLRDHUP}}
-	n, err := pollNow(pollFds)
+	n, err := pollNow(unix.Poll, pollFds)
 	return err == nil && n > 0 && pollFds[0].Revents&unix.POLLRDHUP != 0 && pollFds[0].Revents&unix.POLLERR == 0
 }
 
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -236,19 +236,22 @@
 
 // isReadable reports whether a read on a descriptor would return data or end of file. It consumes nothing. If the system does not tell, it
 // returns true, so that no connection is closed over bytes that may be unread.
-func isReadable(fd int) bool {
+func isReadable(fd int) bool { return isReadableBy(unix.Poll, fd) }
+
+// pollFunc has the form of unix.Poll, which tests replace.
+type pollFunc func(descriptors []unix.PollFd, timeout int) (n int, err error)
+
+func isReadableBy(poll pollFunc, fd int) bool {
 	pollFds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}}
-	n, err := pollNow(pollFds)
+	n, err := pollNow(poll, pollFds)
 	return err != nil || n > 0 && pollFds[0].Revents&unix.POLLNVAL == 0
 }
 
-var poll = unix.Poll // replaced by tests
-
 // maxInterruptions bounds how often poll is called again because of signals.
 const maxInterruptions = 16
 
 // pollNow returns the events that descriptors have now.
-func pollNow(pollFds []unix.PollFd) (n int, err error) {
+func pollNow(poll pollFunc, pollFds []unix.PollFd) (n int, err error) {
 	for range maxInterruptions {
 		n, err = poll(pollFds, 0)
 		if !errors.Is(err, unix.EINTR) {
