Tracer of the system call tests runs on arm64 too

What differs between the machines (registers, how a call is cancelled, rename, which arm64 lacks) stands in regs_amd64.go and regs_arm64.go; x86-64 behaves as before. Looked at: the users ask for both machines, and the build stopped in this package on arm64.

--- a/testbed/syscallfault/call.go
+++ b/testbed/syscallfault/call.go
@@ -13,7 +13,7 @@
 // syscallNumbers are the system calls that can be intercepted.
 var syscallNumbers = map[string]uint64{
 	"read": unix.SYS_READ, "write": unix.SYS_WRITE, "pwrite64": unix.SYS_PWRITE64, "writev": unix.SYS_WRITEV, "openat": unix.SYS_OPENAT,
-	"fsync": unix.SYS_FSYNC, "ftruncate": unix.SYS_FTRUNCATE, "rename": unix.SYS_RENAME, "renameat": unix.SYS_RENAMEAT,
+	"fsync": unix.SYS_FSYNC, "ftruncate": unix.SYS_FTRUNCATE, "renameat": unix.SYS_RENAMEAT,
 	"renameat2": unix.SYS_RENAMEAT2, "unlinkat": unix.SYS_UNLINKAT, "accept4": unix.SYS_ACCEPT4, "socket": unix.SYS_SOCKET,
 	"connect": unix.SYS_CONNECT, "epoll_pwait": unix.SYS_EPOLL_PWAIT, "epoll_ctl": unix.SYS_EPOLL_CTL, "fcntl": unix.SYS_FCNTL, "dup": unix.SYS_DUP,
 }
--- a/testbed/syscallfault/process.go
+++ b/testbed/syscallfault/process.go
@@ -1,6 +1,6 @@
 // Package syscallfault runs a program as a child process and makes its system calls fail, transfer fewer
 // bytes, or end with the child killed, as a test decides. It intercepts system calls with ptrace, which needs
-// no special privileges and no change to the program. It supports Linux on amd64 only.
+// no special privileges and no change to the program. It supports Linux on amd64 and arm64.
 package syscallfault
 
 import (
@@ -144,49 +144,47 @@
 
 // handleStop handles a thread that is stopped at the entry or exit of a system call.
 func (p *Process) handleStop(thread int, traced map[uint64]string, pending map[int]*Call) {
-	var registers syscall.PtraceRegs
-	if syscall.PtraceGetRegs(thread, &registers) != nil {
+	var regs registers
+	if getRegisters(thread, &regs) != nil {
 		return
 	}
 	if !atSyscallEntry(thread) {
 		if call := pending[thread]; call != nil {
 			delete(pending, thread)
-			p.finishEffect(thread, call, &registers)
+			p.finishEffect(thread, call, &regs)
 		}
 		return
 	}
-	name, ok := traced[registers.Orig_rax]
+	name, ok := traced[regs.number()]
 	if !ok {
 		return
 	}
-	call := &Call{Name: name, PID: p.PID, FD: int(int32(registers.Rdi)), Size: int(registers.Rdx), Flags: int(registers.Rdx), Command: int(registers.Rsi)}
+	call := &Call{Name: name, PID: p.PID, FD: int(int32(regs.first())), Size: int(regs.third()), Flags: int(regs.third()), Command: int(regs.second())}
 	if call.effect = p.decide(call); call.effect == (Effect{}) {
 		return
 	}
 	pending[thread] = call
-	p.prepareEffect(thread, call, &registers)
+	p.prepareEffect(thread, call, &regs)
 }
 
 // prepareEffect applies the part of an effect that precedes the call.
-func (p *Process) prepareEffect(thread int, call *Call, registers *syscall.PtraceRegs) {
+func (p *Process) prepareEffect(thread int, call *Call, regs *registers) {
 	switch {
 	case call.effect.Errno != 0 && !call.effect.After:
-		registers.Orig_rax = ^uint64(0) // an invalid number: the kernel makes no call
+		cancelCall(thread, regs)
 	case call.effect.Limit > 0 && call.effect.Limit < call.Size:
-		registers.Rdx = uint64(call.effect.Limit)
-	default:
-		return
+		regs.setThird(uint64(call.effect.Limit))
+		_ = setRegisters(thread, regs)
 	}
-	_ = syscall.PtraceSetRegs(thread, registers)
 }
 
 // finishEffect applies the rest of an effect when the call returns.
-func (p *Process) finishEffect(thread int, call *Call, registers *syscall.PtraceRegs) {
+func (p *Process) finishEffect(thread int, call *Call, regs *registers) {
 	if call.effect.Errno != 0 {
-		registers.Rax = uint64(-int64(call.effect.Errno))
+		regs.setResult(uint64(-int64(call.effect.Errno)))
 	}
-	registers.Rdx = uint64(call.Size)
-	_ = syscall.PtraceSetRegs(thread, registers)
+	regs.setThird(uint64(call.Size))
+	_ = setRegisters(thread, regs)
 	p.mu.Lock()
 	p.effectCounts[call.Name+" "+call.effect.String()]++
 	p.mu.Unlock()
