--- a/review/_peers2/courier.go
+++ b/review/_peers2/courier.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"math/rand"
 	"net"
 	"net/http"
 	"os"
@@ -54,7 +56,6 @@
 	listener *net.TCPListener // the platform's listening socket, which processes inherit; nil: the courier listens
 	platform *platform
 	settings object
-	seed     int
 }
 
 func newCourier(r *record, p *platform, s object, inherited bool) *courier {
@@ -78,8 +79,7 @@
 
 // configure writes the configuration, with the list as the platform has it now.
 func (c *courier) configure() {
-	c.seed++
-	config := object{"name": c.name, "listen": c.listen, "discovery": c.platform.address, "seed": "8c1f30d27a5be96" + string(rune('0'+c.seed)),
+	config := object{"name": c.name, "listen": c.listen, "discovery": c.platform.address, "seed": fmt.Sprintf("%016x", rand.Uint64()),
 		"limits": object{"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3}, "known": c.platform.known(), "settings": c.settings}
 	text, _ := json.MarshalIndent(config, "", " ")
 	if err := os.WriteFile(filepath.Join(c.dir, "config.json"), text, 0o600); err != nil {
--- a/review/_peers2/fallback.go
+++ b/review/_peers2/fallback.go
@@ -13,7 +13,7 @@
 	p, t := newPlatform(r), &trips{record: r}
 	owner := map[string]int{} // destination of each endpoint
 	serve := func(delay time.Duration) func([]string, int) answer {
-		return func([]string, int) answer { return answer{200, delay} }
+		return func([]string, int) answer { return answer{status: 200, delay: delay} }
 	}
 	listed := func(e *endpoint, block int, health string) entry {
 		owner[e.name] = block
--- a/review/_peers2/world.go
+++ b/review/_peers2/world.go
@@ -160,16 +160,6 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-// noticeOf returns the first notice of a message, or "".
-func (p *platform) noticeOf(id string) string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if len(p.notices[id]) == 0 {
-		return ""
-	}
-	return p.notices[id][0]
-}
-
 // trip is one message in one call to an endpoint.
 type trip struct {
 	endpoint string
@@ -183,8 +173,9 @@
 
 // answer is how an endpoint answers a call. Status 0: it says nothing until the courier gives up.
 type answer struct {
-	status int
-	delay  time.Duration
+	status    int
+	delay     time.Duration
+	backoffMs int64 // X-Backoff-Ms; 0: none
 }
 
 // trips holds all trips to all endpoints.
@@ -307,6 +298,9 @@
 			body += id + " accepted\r\n"
 		}
 	}
+	if a.backoffMs > 0 {
+		w.Header().Set("X-Backoff-Ms", strconv.FormatInt(a.backoffMs, 10))
+	}
 	w.WriteHeader(a.status)
 	io.WriteString(w, body)
 }
