--- a/review/_peers2/courier.go
+++ b/review/_peers2/courier.go
@@ -65,7 +65,7 @@
 	}
 	cleanups = append(cleanups, func() { os.RemoveAll(dir) })
 	c := &courier{name: "n0", record: r, dir: dir, platform: p, settings: s}
-	l := mustListen("127.0.0.1:0")
+	l := mustListen(ownHost() + ":0")
 	c.listen = l.Addr().String()
 	if inherited {
 		c.listener = l.(*net.TCPListener)
@@ -77,6 +77,11 @@
 	return c
 }
 
+// ownHost returns a loopback address that nobody else is likely to use, so that a port that was free stays free until the courier listens on it.
+func ownHost() string {
+	return fmt.Sprintf("127.%d.%d.%d", 1+rand.Intn(250), rand.Intn(250), 1+rand.Intn(250))
+}
+
 // configure writes the configuration, with the list as the platform has it now.
 func (c *courier) configure() {
 	config := object{"name": c.name, "listen": c.listen, "discovery": c.platform.address, "seed": fmt.Sprintf("%016x", rand.Uint64()),
@@ -98,7 +103,7 @@
 
 // start runs the command of the deploy file.
 func (c *courier) start(name string) *process {
-	l := mustListen("127.0.0.1:0")
+	l := mustListen(ownHost() + ":0")
 	ops := l.Addr().String()
 	l.Close()
 	cmd := exec.Command("/bin/sh", "-c", "exec bin/pineport")
