--- a/review/_peers2/world.go
+++ b/review/_peers2/world.go
@@ -38,16 +38,16 @@
 	entries map[string]*entry
 	order   []string
 	changed chan struct{}
-	notices map[string][]string
-	down    bool          // list requests end with 503, and watches end
-	fell    chan struct{} // closed when discovery goes down
-	whole   bool          // every list request is answered with the whole list
+	notices map[string]time.Time // when the first one of a message came
+	down    bool                 // list requests end with 503, and watches end
+	fell    chan struct{}        // closed when discovery goes down
+	whole   bool                 // every list request is answered with the whole list
 	// write, if set, writes the body of a list answer in place of one write.
 	write func(w http.ResponseWriter, body []byte)
 }
 
 func newPlatform(r *record) *platform {
-	p := &platform{record: r, entries: map[string]*entry{}, changed: make(chan struct{}), fell: make(chan struct{}), notices: map[string][]string{}}
+	p := &platform{record: r, entries: map[string]*entry{}, changed: make(chan struct{}), fell: make(chan struct{}), notices: map[string]time.Time{}}
 	l := mustListen("127.0.0.1:0")
 	p.address = l.Addr().String()
 	mux := http.NewServeMux()
@@ -152,7 +152,9 @@
 	for _, line := range strings.Split(strings.TrimSpace(string(text)), "\n") {
 		var n struct{ ID, Status string }
 		if json.Unmarshal([]byte(line), &n) == nil {
-			p.notices[n.ID] = append(p.notices[n.ID], n.Status)
+			if p.notices[n.ID].IsZero() {
+				p.notices[n.ID] = time.Now()
+			}
 			p.record.line("notice %s %s", n.ID, n.Status)
 		}
 	}
@@ -160,6 +162,13 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// noticeAt returns when the first notice of a message came, or the zero time.
+func (p *platform) noticeAt(id string) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.notices[id]
+}
+
 // trip is one message in one call to an endpoint.
 type trip struct {
 	endpoint string
