--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -3,4 +3,4 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 plays it without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x bin/pineport ] && [ -x bin/review-peers2 ] || { echo "not built: see review/build-2.sh"; exit 2; }
-exec bin/review-peers2 slowlist review/9
+exec bin/review-peers2 copies review/9
--- a/review/_peers2/courier.go
+++ b/review/_peers2/courier.go
@@ -56,6 +56,7 @@
 	listener *net.TCPListener // the platform's listening socket, which processes inherit; nil: the courier listens
 	platform *platform
 	settings object
+	known    json.RawMessage // the list that the configuration holds; nil: as the platform has it
 }
 
 func newCourier(r *record, p *platform, s object, inherited bool) *courier {
@@ -82,10 +83,14 @@
 	return fmt.Sprintf("127.%d.%d.%d", 1+rand.Intn(250), rand.Intn(250), 1+rand.Intn(250))
 }
 
-// configure writes the configuration, with the list as the platform has it now.
+// configure writes the configuration.
 func (c *courier) configure() {
+	known := c.known
+	if known == nil {
+		known = c.platform.known()
+	}
 	config := object{"name": c.name, "listen": c.listen, "discovery": c.platform.address, "seed": fmt.Sprintf("%016x", rand.Uint64()),
-		"limits": object{"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3}, "known": c.platform.known(), "settings": c.settings}
+		"limits": object{"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3}, "known": known, "settings": c.settings}
 	text, _ := json.MarshalIndent(config, "", " ")
 	if err := os.WriteFile(filepath.Join(c.dir, "config.json"), text, 0o600); err != nil {
 		cannotRun("configuration: %v", err)
