A message is not sent again while a call that carries it is out

Cause: a slot and a connection belong to a call, but Dispatcher.cancelOverdue canceled the most overdue single attempt, and Server.cancel ended it in the books at once and its call only when all attempts had ended. The slot that it was canceled for stayed taken.

Ruled out: timeouts of single attempts (they are equal within a call), hedged requests (none are sent), lost connections (the endpoint saw the first one open). The second calls came only for messages of the class that is canceled earlier, and only while no slot was free.

Change: the dispatcher cancels an overdue call whole, once its most reluctant message is overdue. The server holds the rule for any dispatcher: a canceled message stays in flight until its call is over. The predecessor of an upgrade reports the end of a canceled call to its successor, which waits for it. Timeouts and their extension are taken for a call as a whole. A shadow puts actual sends of one instant to one endpoint into one call, as they are (its check failed for the new scenario otherwise).

--- a/dispatch/calls.go
+++ b/dispatch/calls.go
@@ -23,6 +23,7 @@
 // call occupies one slot and carries one attempt, or several that finish together.
 type call struct {
 	endpoint     *endpoint
+	attempts     []*attempt
 	openAttempts int
 	sent         bool   // at least one of its attempts was sent, or may be sent again
 	idleBucket   int    // of its connection when the call started; see idleBucketOf
@@ -52,12 +53,18 @@
 	added := &attempt{message: message, endpoint: call.endpoint, call: call, sentAt: d.now}
 	message.attempts = append(message.attempts, added)
 	message.inFlight++
+	call.attempts = append(call.attempts, added)
 	call.openAttempts++
 	group.inFlight = append(group.inFlight, added)
 	d.inFlight = append(d.inFlight, added)
 	return added
 }
 
+// isCanceled reports whether all unfinished attempts of a call were canceled.
+func (c *call) isCanceled() bool {
+	return !slices.ContainsFunc(c.attempts, func(attempt *attempt) bool { return !attempt.finished && !attempt.canceled })
+}
+
 // resumeAttempt takes over an attempt that the predecessor has in flight. If the breaker is half-open without a trial, the
 // attempt becomes its trial.
 func (d *Dispatcher) resumeAttempt(message *message, endpoint *endpoint, sentAt Micros) {
--- a/dispatch/retry.go
+++ b/dispatch/retry.go
@@ -116,25 +116,43 @@
 	}
 }
 
-// cancelOverdue cancels the attempt with the highest ratio of elapsed to expected duration (plus 0.25 s), if
-// that ratio is above minRatio. Nine calls in ten take less than three times the expected duration. When all
-// endpoints slow down at the same time, this also cancels calls that would still be answered.
+// cancelOverdue cancels the call with the highest ratio of elapsed to expected duration (plus 0.25 s), if that
+// ratio is above minRatio. Only the end of a call frees its slot, and a message can't be sent again before, so
+// all its attempts are canceled together. Nine calls in ten take less than three times the expected duration.
+// When all endpoints slow down at the same time, this also cancels calls that would still be answered.
 func (d *Dispatcher) cancelOverdue(minRatio float64) {
-	var worst *attempt
+	var worst *call
 	for _, attempt := range d.inFlight {
-		expected := d.expectedDuration(attempt.endpoint.group) + second/4
-		overdue := float64(d.now-attempt.sentAt) / float64(expected)
-		if attempt.message.class.Idempotency == AtMostOnce {
-			overdue /= 1.5 // cancellation fails an at-most-once message
-		}
-		if overdue > minRatio && !attempt.canceled {
-			minRatio, worst = overdue, attempt
+		if ratio := d.overdueRatio(attempt.call); ratio > minRatio && !attempt.call.isCanceled() {
+			minRatio, worst = ratio, attempt.call
 		}
 	}
 	if worst == nil {
 		return
 	}
-	worst.canceled = true // the cancellation is observed as a timeout, as the call had no answer for so long
-	d.observe(AttemptFinished{Outcome: TimedOut, Duration: d.now - worst.sentAt}, worst)
-	d.emit(Cancel{worst.message.id, worst.number()})
+	for _, attempt := range worst.attempts {
+		if attempt.finished || attempt.canceled {
+			continue
+		}
+		attempt.canceled = true // the cancellation is observed as a timeout, as the call had no answer for so long
+		d.observe(AttemptFinished{Outcome: TimedOut, Duration: d.now - attempt.sentAt}, attempt)
+		d.emit(Cancel{attempt.message.id, attempt.number()})
+	}
+}
+
+// overdueRatio returns the ratio of elapsed to expected duration of a call; the lowest one where several
+// messages share it.
+func (d *Dispatcher) overdueRatio(call *call) float64 {
+	expected := d.expectedDuration(call.endpoint.group) + second/4
+	lowest := math.Inf(1)
+	for _, attempt := range call.attempts {
+		ratio := float64(d.now-attempt.sentAt) / float64(expected)
+		if attempt.message.class.Idempotency == AtMostOnce {
+			ratio /= 1.5 // cancellation fails an at-most-once message
+		}
+		if !attempt.finished {
+			lowest = min(lowest, ratio)
+		}
+	}
+	return lowest
 }
--- a/dispatch/shadow.go
+++ b/dispatch/shadow.go
@@ -221,12 +221,22 @@
 		s.count(message.id, SentLater)
 	}
 	d.dequeue(message)
-	sent := d.addAttempt(message, d.startCall(endpoint))
+	sent := d.addAttempt(message, d.sharedCall(endpoint))
 	if breaker := &endpoint.group.breakers[message.classID]; breaker.state == breakerHalfOpen && breaker.trial == nil {
 		breaker.trial = sent
 	}
 }
 
+// sharedCall returns the call of this instant to an endpoint that has room for another message, or starts one.
+func (d *Dispatcher) sharedCall(endpoint *endpoint) *call {
+	for _, attempt := range slices.Backward(d.inFlight) {
+		if attempt.endpoint == endpoint && attempt.sentAt == d.now && attempt.call.openAttempts < endpoint.destination.endpointType.MaxPerCall {
+			return attempt.call
+		}
+	}
+	return d.startCall(endpoint)
+}
+
 // undoFinish undoes the final answer of a message.
 func (d *Dispatcher) undoFinish(message *message) {
 	message.ended = false
@@ -250,6 +260,7 @@
 	message.inFlight--
 	group, call := undone.endpoint.group, undone.call
 	group.inFlight, d.inFlight = without(group.inFlight, undone), without(d.inFlight, undone)
+	call.attempts = without(call.attempts, undone)
 	if breaker := &group.breakers[message.classID]; breaker.trial == undone {
 		breaker.trial = nil
 	}
--- a/handoff/folder.go
+++ b/handoff/folder.go
@@ -114,7 +114,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	link := newLink(conn)
+	link := NewLink(conn)
 	conn.SetReadDeadline(clock.Instant().Add(handshakeTimeout))
 	link.Send(Message{Hello: &Hello{Version: Version, Courier: courier}})
 	message, err := link.next()
@@ -152,7 +152,7 @@
 				return
 			}
 			go func() {
-				link := newLink(conn)
+				link := NewLink(conn)
 				conn.SetReadDeadline(clock.Instant().Add(handshakeTimeout))
 				if message, err := link.next(); err != nil || message.Hello == nil {
 					link.Close()
--- a/handoff/message.go
+++ b/handoff/message.go
@@ -107,7 +107,8 @@
 	closed    chan struct{}
 }
 
-func newLink(conn net.Conn) *Link {
+// NewLink returns a link over a connection to the other process, and starts to write queued messages to it.
+func NewLink(conn net.Conn) *Link {
 	link := &Link{conn: conn, scanner: bufio.NewScanner(conn), queue: make(chan Message, maxQueuedMessages), closed: make(chan struct{})}
 	link.scanner.Buffer(make([]byte, 0, 4<<10), maxMessageSize)
 	go link.write()
--- a/server/crossings_test.go
+++ b/server/crossings_test.go
@@ -317,7 +317,7 @@
 // timed out or was canceled. It was ignored, so a delivered message was retried or failed.
 func TestAnswerReceivedAtTimeoutCounts(t *testing.T) {
 	for name, trigger := range map[string]func(s *Server, attempt *attempt){
-		"overdue":          func(s *Server, attempt *attempt) { s.attemptTimedOut(attempt) },
+		"overdue":          func(s *Server, attempt *attempt) { s.callTimedOut(attempt.call) },
 		"attempt canceled": func(s *Server, _ *attempt) { s.cancel(dispatch.Cancel{Message: "one"}) },
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -353,7 +353,7 @@
 		"nothing": {"", dispatch.TimedOut},
 	} {
 		for triggerName, trigger := range map[string]func(s *Server, attempt *attempt){
-			"overdue":          func(s *Server, attempt *attempt) { s.attemptTimedOut(attempt) },
+			"overdue":          func(s *Server, attempt *attempt) { s.callTimedOut(attempt.call) },
 			"attempt canceled": func(s *Server, _ *attempt) { s.cancel(dispatch.Cancel{Message: "one"}) },
 		} {
 			t.Run(name+" "+triggerName, func(t *testing.T) {
@@ -396,7 +396,7 @@
 				}
 				for range 3 { // the start of an answer sets a new timeout (answerStarted)
 					if s.now = max(s.clock(), attempt.waitUntil); !attempt.finished {
-						s.attemptTimedOut(attempt)
+						s.callTimedOut(attempt.call)
 					}
 				}
 				for _, e := range s.events {
@@ -423,11 +423,11 @@
 	}
 	attempt := s.messages["one"].attempts[0]
 	s.now = attempt.waitUntil
-	if s.attemptTimedOut(attempt); attempt.finished || attempt.waitUntil != s.now+recheckDelay {
+	if s.callTimedOut(attempt.call); attempt.finished || attempt.waitUntil != s.now+recheckDelay {
 		t.Fatalf("finished %v, timeout extended by %d us", attempt.finished, attempt.waitUntil-s.now)
 	}
 	s.now = attempt.waitUntil
-	if s.attemptTimedOut(attempt); !attempt.finished {
+	if s.callTimedOut(attempt.call); !attempt.finished {
 		t.Error("the timeout was extended twice")
 	}
 }
--- a/server/handoff.go
+++ b/server/handoff.go
@@ -209,13 +209,13 @@
 	}
 	h.predecessor.Send(handoff.Message{Serving: true})
 	for _, attempt := range h.unlisted {
-		h.cancelAttempt(attempt)
+		h.requestCancel(attempt)
 	}
 	h.unlisted = nil
 }
 
-// cancelAttempt tells the predecessor to cancel an attempt.
-func (h *handoffState) cancelAttempt(attempt *attempt) {
+// requestCancel asks the predecessor to cancel an attempt.
+func (h *handoffState) requestCancel(attempt *attempt) {
 	if h.predecessor != nil {
 		h.predecessor.Send(handoff.Message{Cancel: &handoff.AttemptID{Message: attempt.message.stored.ID, Attempt: attempt.number}})
 	}
@@ -340,8 +340,7 @@
 	case message.Cancel != nil:
 		for _, attempt := range slices.Clone(s.inFlight) {
 			if attempt.message.stored.ID == message.Cancel.Message && attempt.number == message.Cancel.Attempt {
-				h.finishAttempt(attempt)
-				s.abandonCall(attempt.call)
+				s.cancelAttempt(attempt)
 			}
 		}
 	case message.RetryAfter != nil:
--- a/server/message.go
+++ b/server/message.go
@@ -60,15 +60,16 @@
 // attempt is one attempt to deliver a message. It is sent in a call, alone or together with attempts of
 // other messages.
 type attempt struct {
-	message       *message
-	number        int // index among the message's attempts
-	call          *call
-	decidedAt     dispatch.Micros // when the dispatcher decided on the attempt, before its connection was open
-	waitUntil     dispatch.Micros // when the attempt times out
-	stored        bool            // in the spool
-	rechecked     bool            // the timeout was extended once because of unread bytes
-	finished      bool
-	failedLocally bool // not sent because of a shortage on this machine, for example of file descriptors, or because it could not be stored
+	message   *message
+	number    int // index among the message's attempts
+	call      *call
+	decidedAt dispatch.Micros // when the dispatcher decided on the attempt, before its connection was open
+	waitUntil dispatch.Micros // when the attempt times out
+	stored    bool            // in the spool
+	finished  bool
+	// cancelRequested is set when the dispatcher has canceled the attempt, which stays in flight until its call is over.
+	cancelRequested bool
+	failedLocally   bool // not sent because of a shortage on this machine, for example of file descriptors, or because it could not be stored
 }
 
 // acceptedEvent returns the dispatcher event for a stored message.
--- a/server/recovery.go
+++ b/server/recovery.go
@@ -18,8 +18,9 @@
 		return
 	}
 	for _, attempt := range append([]*attempt(nil), s.inFlight...) {
-		s.complete(attempt, dispatch.AttemptFinished{Outcome: dispatch.Broken})
-		s.abandonCall(attempt.call)
+		if !attempt.finished {
+			s.giveUpCall(attempt.call, dispatch.AttemptFinished{Outcome: dispatch.Broken})
+		}
 	}
 	s.events, s.dispatcher, s.timerAt = nil, s.newDispatcher(), never
 	s.shadow.start(s)
--- a/server/step.go
+++ b/server/step.go
@@ -41,7 +41,7 @@
 	}
 	for _, attempt := range append([]*attempt(nil), s.inFlight...) {
 		if !attempt.finished && attempt.waitUntil <= s.now {
-			s.attemptTimedOut(attempt)
+			s.callTimedOut(attempt.call)
 		}
 	}
 	if s.handoff.handedOver { // the successor runs the dispatcher
