Clients take turns: one that sends at full speed no longer keeps others from their answers

Cause: nothing bounded a turn. The poller read up to 1 MB of one connection at a time, an event held all commands of 16 kB, each reply was a system call, and all that a client had sent was read although it had gone.

Ruled out: the cost of single commands, names that are kept, the accept queue (docs/incidents/floods.md).

Change: a connection that sends requests gets one read of at most 4 kB and then waits for all others; the rest of a peer that ended its sending is still read whole, that of one that reset its connection is not. Replies of a step to one client are one write.

--- a/server/clientconn/conn.go
+++ b/server/clientconn/conn.go
@@ -35,6 +35,14 @@
 	Closed struct{ Conn *Conn }
 )
 
+// Count returns the number of replies that the commands get, with that to Err.
+func (e Commands) Count() int {
+	if e.Err != nil {
+		return len(e.Commands) + 1
+	}
+	return len(e.Commands)
+}
+
 func (Opened) clientEvent()   {}
 func (Commands) clientEvent() {}
 func (Closed) clientEvent()   {}
@@ -127,11 +135,9 @@
 		return
 	}
 	c.hasSentCommand.Store(true)
-	c.pendingReplies.Add(int64(len(commands)))
-	if err != nil {
-		c.pendingReplies.Add(1) // the error reply
-	}
-	c.set.notify(Commands{c, commands, err, arrivedAt})
+	event := Commands{c, commands, err, arrivedAt}
+	c.pendingReplies.Add(int64(event.Count()))
+	c.set.notify(event)
 }
 
 // arrivalOfRead returns the earliest time at which bytes that are read now may have arrived: for the first read of a connection, when the
@@ -196,12 +202,12 @@
 	return since > 0 && now-since > partialTimeout && !c.HasPendingReplies()
 }
 
-// Write writes the reply to the oldest unanswered command. If closeAfter is set, the connection is closed after closeDelay.
+// Write writes the replies to the oldest unanswered commands. If closeAfter is set, the connection is closed after closeDelay.
 // Write errors are ignored, since Closed reports a lost connection. A client that leaves more than maxUnreadReplies unread is
 // disconnected. After Set.Remove neither applies: the connection is closed after the last pending reply.
-func (c *Conn) Write(reply string, closeAfter bool) {
-	c.pendingReplies.Add(-1)
-	_ = c.conn.Write([]byte(reply))
+func (c *Conn) Write(replies string, commands int, closeAfter bool) {
+	c.pendingReplies.Add(-int64(commands))
+	_ = c.conn.Write([]byte(replies))
 	if c.inputEnded {
 		if !c.HasPendingReplies() {
 			c.conn.CloseReplies()
--- a/server/clientconn/set_test.go
+++ b/server/clientconn/set_test.go
@@ -90,7 +90,7 @@
 	io.WriteString(served, ping)
 	next[Commands](t, s)
 	s.RecordCommands(conn, 1)
-	conn.Write("+PONG\r\n", false)
+	conn.Write("+PONG\r\n", 1, false)
 	io.ReadFull(served, make([]byte, 7))
 	silent, _ := s.connect(t)
 	s.now.Store(NewConnGrace + 2)
@@ -123,7 +123,7 @@
 	if s.AllAnswered() || s.CloseAnswered() {
 		t.Error("a command without a reply is reported as answered")
 	}
-	conn.Write("+PONG\r\n", false)
+	conn.Write("+PONG\r\n", 1, false)
 	waiting.SetReadDeadline(time.Now().Add(5 * time.Second))
 	if got, err := io.ReadAll(io.LimitReader(waiting, 7)); string(got) != "+PONG\r\n" {
 		t.Errorf("got %q, %v", got, err)
@@ -252,7 +252,7 @@
 	if event := next[Commands](t, s); len(event.Commands) != 1 {
 		t.Errorf("%d commands were passed on, want 1", len(event.Commands))
 	}
-	conn.Write("-BUSY\r\n", false)
+	conn.Write("-BUSY\r\n", 1, false)
 	io.WriteString(client, ping)
 	if !port.WaitAcknowledged(client) {
 		t.Fatal("the request did not arrive")
--- a/server/step.go
+++ b/server/step.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"runtime/debug"
+	"strings"
 
 	"pineport/dispatch"
+	"pineport/server/clientconn"
 )
 
 // due returns when the next step is due without an event.
@@ -67,16 +69,46 @@
 	s.admin.publish()
 }
 
-// writeReplies writes the pending replies. A message that ends undelivered after its reply was written ends
+// writeReplies writes the pending replies, with one write for each client. A message that ends undelivered after its reply was written ends
 // with a notice.
 func (s *Server) writeReplies() {
+	var clients []*clientconn.Conn // in the order of their first replies
+	batches := map[*clientconn.Conn]*replyBatch{}
 	for _, reply := range s.replies {
-		reply.client.Write(reply.text, reply.close)
+		batch := batches[reply.client]
+		if batch == nil {
+			batch = &replyBatch{}
+			batches[reply.client], clients = batch, append(clients, reply.client)
+		}
+		batch.add(reply)
 		if reply.message != nil {
 			reply.message.waiting = nil
 		}
 	}
-	s.replies = s.replies[:0]
+	for _, client := range clients {
+		batch := batches[client]
+		client.Write(batch.text.String(), batch.count, batch.close)
+	}
+	clear(s.replies)
+	if s.replies = s.replies[:0]; cap(s.replies) > maxKeptReplies {
+		s.replies = nil
+	}
+}
+
+// maxKeptReplies is the length up to which the list of pending replies is used again.
+const maxKeptReplies = 1024
+
+// replyBatch holds the pending replies to one client.
+type replyBatch struct {
+	text  strings.Builder
+	count int
+	close bool // close the connection after the replies
+}
+
+func (b *replyBatch) add(reply *reply) {
+	b.text.WriteString(reply.text)
+	b.count++
+	b.close = b.close || reply.close
 }
 
 // decide calls the dispatcher. If it panics, a new one is started with the unfinished messages.
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -41,7 +41,10 @@
 	// returns, even if bytes are still unread. The limit therefore exceeds the largest message body, even one that
 	// arrives one byte per read.
 	maxConsecutiveReadBytes = 64 * readBufferSize
-	maxWriteBufferSize      = 1 << 20 // more than the largest request, which holds five bodies of maximum size
+	// requesterTurnBytes limits the reading of a connection that sends requests, a Replier's, so that those that send without end take
+	// turns with all others. The poller reports the connection again while bytes are left.
+	requesterTurnBytes = 4 << 10
+	maxWriteBufferSize = 1 << 20 // more than the largest request, which holds five bodies of maximum size
 )
 
 // Driver owns the nbio poller and all connections that it serves.
@@ -582,43 +585,66 @@
 	}
 }
 
-// read reads the available bytes and passes them to the handler; the poller calls it. handlerLock is held from the
+// read reads available bytes and passes them to the handler; the poller calls it. handlerLock is held from the
 // read until the handler returns, so a holder of handlerLock knows that all bytes read so far have been handled.
+// A Replier's connection gets one turn, and all of its bytes are read if the peer has ended its sending.
 func (c *Conn) read(raw *nbio.Conn, buffer []byte) {
+	_, takesTurns := c.handler.(Replier)
+	if takesTurns {
+		buffer = buffer[:requesterTurnBytes]
+	}
 	// Read until EAGAIN. Incident: a short read was taken for the last one although more bytes were available,
 	// and the peer's end of file then closed the connection before they were read.
 	for bytesRead := 0; bytesRead < maxConsecutiveReadBytes; bytesRead++ {
-		c.handlerLock.Lock()
-		if c.closeReported || c.isClosing() {
-			c.handlerLock.Unlock()
-			c.closeOnPoller(raw, ErrClosedLocally)
-			return
-		}
-		if c.driver.stoppedReading.Load() && !c.hasPartialRequest() {
-			c.handlerLock.Unlock()
+		n, ended := c.readOnce(raw, buffer)
+		if ended {
 			return
 		}
-		n, err := raw.Read(buffer)
-		if n > 0 {
-			bytesRead += n
-			c.runRecovered(func() { c.handler.Data(c, buffer[:n]) })
+		bytesRead += n
+		if !takesTurns {
+			continue
 		}
-		if n == 0 && err == nil {
-			err = io.EOF
-			c.duplicateForReplies(raw)
-		}
-		c.handlerLock.Unlock()
-		switch {
-		case errors.Is(err, syscall.EINTR):
-		case errors.Is(err, syscall.EAGAIN):
+		switch peerStateOf(raw.Hash()) {
+		case peerOpen:
 			return
-		case err != nil:
-			c.closeOnPoller(raw, err)
+		case peerGone: // nobody waits for replies to the rest
+			c.closeOnPoller(raw, syscall.ECONNRESET)
 			return
 		}
 	}
 }
 
+// readOnce reads once and passes the bytes to the handler. ended means that nothing more can be read now.
+func (c *Conn) readOnce(raw *nbio.Conn, buffer []byte) (n int, ended bool) {
+	c.handlerLock.Lock()
+	if c.closeReported || c.isClosing() {
+		c.handlerLock.Unlock()
+		c.closeOnPoller(raw, ErrClosedLocally)
+		return 0, true
+	}
+	if c.driver.stoppedReading.Load() && !c.hasPartialRequest() {
+		c.handlerLock.Unlock()
+		return 0, true
+	}
+	n, err := raw.Read(buffer)
+	if n > 0 {
+		c.runRecovered(func() { c.handler.Data(c, buffer[:n]) })
+	}
+	if n == 0 && err == nil {
+		err = io.EOF
+		c.duplicateForReplies(raw)
+	}
+	c.handlerLock.Unlock()
+	switch {
+	case err == nil, errors.Is(err, syscall.EINTR):
+		return max(n, 0), false
+	case errors.Is(err, syscall.EAGAIN):
+		return max(n, 0), true
+	}
+	c.closeOnPoller(raw, err)
+	return max(n, 0), true
+}
+
 func (c *Conn) hasPartialRequest() bool {
 	reader, ok := c.handler.(PartialReader)
 	return ok && reader.HasPartialRequest()
