Requests of a client that has gone are dropped, not sent on

Callers saw: a client closed its connection with much unread, and its requests were accepted and sent on afterwards.

Cause: bytes of a reset connection can still be read, and its end is queued behind its requests. Ruled out: messages accepted before the client went (the courier was stopped by SIGSTOP until after the reset).

Change: before the commands of a read are handled, the socket is asked whether the peer has reset the connection; then they are dropped.

--- a/server/clientconn/conn.go
+++ b/server/clientconn/conn.go
@@ -202,6 +202,16 @@
 	return since > 0 && now-since > partialTimeout && !c.HasPendingReplies()
 }
 
+// IsGone reports whether the client has reset the connection, so that no reply can reach it.
+func (c *Conn) IsGone() bool { return c.conn.IsPeerGone() }
+
+// Drop counts commands as answered to which no reply can be written, as the client is gone.
+func (c *Conn) Drop(commands int) {
+	if c.pendingReplies.Add(-int64(commands)) <= 0 && c.inputEnded {
+		c.conn.CloseReplies()
+	}
+}
+
 // Write writes the replies to the oldest unanswered commands. If closeAfter is set, the connection is closed after closeDelay.
 // Write errors are ignored, since Closed reports a lost connection. A client that leaves more than maxUnreadReplies unread is
 // disconnected. After Set.Remove neither applies: the connection is closed after the last pending reply.
--- a/server/clients.go
+++ b/server/clients.go
@@ -49,7 +49,13 @@
 	}
 }
 
+// handleCommands handles the commands of a client. Those of a client that is gone are dropped: nobody waits for their replies, and the client
+// may have submitted its messages elsewhere.
 func (s *Server) handleCommands(event clientconn.Commands) {
+	if event.Conn.IsGone() {
+		event.Conn.Drop(event.Count())
+		return
+	}
 	s.clients.RecordCommands(event.Conn, s.now)
 	for _, arguments := range event.Commands {
 		reply := &reply{client: event.Conn, arrivedAt: event.ArrivedAt}
