Memory stays in its limit under many clients that do not read, or halt among many fields

Callers saw: a process with hundreds of clients that wrote slowly, halted or sent very many short fields passed its memory limit and was killed.

Cause: unread replies were bounded for each client (64 kB), not for all; and a parser kept the buffer of a whole read for the few bytes of an incomplete command, and counted those bytes alone.

Change: a limit on the unread replies of all clients, a sixteenth of the memory; parsers keep a buffer of at most twice what they hold, and count it.

--- a/protocol/protocol_test.go
+++ b/protocol/protocol_test.go
@@ -293,3 +293,26 @@
 		}
 	})
 }
+
+// TestPartialCommandKeepsNoLargeBuffer guards against a client whose few bytes of an incomplete command hold the buffer of all that it sent
+// with them: many such clients took several times the memory that was counted.
+func TestPartialCommandKeepsNoLargeBuffer(t *testing.T) {
+	const part = "*5\r\n$7\r\nENQUEUE\r\n$600\r\n"
+	var parser CommandParser
+	text := strings.Repeat("*1\r\n$4\r\nPING\r\n", 1000) + part + strings.Repeat("i", 500)
+	if commands, err := parser.Feed([]byte(text)); len(commands) != 1000 || err != nil {
+		t.Fatalf("%d commands, %v", len(commands), err)
+	}
+	if got := cap(parser.buf); got > 2*500+smallBuffer {
+		t.Errorf("500 bytes are kept in a buffer of %d", got)
+	}
+	if got := parser.PartialBytes(); got < cap(parser.buf)+len("ENQUEUE") {
+		t.Errorf("%d bytes are counted; the buffer alone has %d", got, cap(parser.buf))
+	}
+	for range 499 {
+		parser.Feed([]byte("x"))
+	}
+	if got := cap(parser.buf); got > 2*1000+smallBuffer {
+		t.Errorf("999 bytes are kept in a buffer of %d", got)
+	}
+}
--- a/protocol/resp.go
+++ b/protocol/resp.go
@@ -49,15 +49,35 @@
 			break
 		}
 	}
-	p.buf = append(p.buf[:0], p.buf[used:]...)
-	if len(p.buf) == 0 && cap(p.buf) > maxCommandBytes {
-		p.buf = nil // do not keep a large buffer for an idle connection
-	}
+	p.keep(p.buf[used:])
 	return commands, p.err
 }
 
-// PartialBytes returns the number of buffered bytes of an incomplete command.
-func (p *CommandParser) PartialBytes() int { return len(p.buf) + p.argBytes }
+// keep keeps the bytes of an incomplete command, in a buffer that is not much larger.
+func (p *CommandParser) keep(rest []byte) {
+	switch {
+	case len(rest) == 0 && cap(p.buf) > smallBuffer:
+		p.buf = nil
+	case cap(p.buf) > 2*len(rest) && cap(p.buf) > smallBuffer:
+		p.buf = bytes.Clone(rest)
+	default:
+		p.buf = append(p.buf[:0], rest...)
+	}
+}
+
+// smallBuffer is the size, in bytes, up to which the buffer of a connection is kept whatever it holds.
+const smallBuffer = 512
+
+// argumentOverhead is what an argument of an incomplete command occupies beside its bytes.
+const argumentOverhead = 32
+
+// PartialBytes returns the number of bytes that an incomplete command occupies.
+func (p *CommandParser) PartialBytes() int {
+	if p.BetweenCommands() {
+		return 0
+	}
+	return cap(p.buf) + p.argBytes + argumentOverhead*len(p.args)
+}
 
 // BetweenCommands reports whether no incomplete command is buffered.
 func (p *CommandParser) BetweenCommands() bool { return p.remainingArgs == 0 && len(p.buf) == 0 }
--- a/server/clientconn/conn.go
+++ b/server/clientconn/conn.go
@@ -54,6 +54,8 @@
 	// guaranteedPartialBytes is how many bytes of an incomplete command are buffered for each client regardless of the
 	// total limit; nearly all commands are shorter.
 	guaranteedPartialBytes = 4 << 10
+	// guaranteedUnreadReplies is how many reply bytes may wait for each client regardless of the total limit.
+	guaranteedUnreadReplies = 1 << 10
 	// closeDelay is the time between writing the last reply and closing the connection, so that the reply can reach the client.
 	closeDelay = 200 * time.Millisecond
 )
@@ -82,8 +84,9 @@
 	// Accessed only by the event loop.
 	connectedAt       dispatch.Micros
 	lastCommandAt     dispatch.Micros
-	closedForShutdown bool // set by CloseAnswered
-	inputEnded        bool // the client sends nothing more; set by Set.Remove
+	closedForShutdown bool  // set by CloseAnswered
+	inputEnded        bool  // the client sends nothing more; set by Set.Remove
+	unreadReplies     int64 // reply bytes that the socket has not taken, at the last look
 }
 
 // Opened implements transport.Handler.
@@ -213,8 +216,9 @@
 }
 
 // Write writes the replies to the oldest unanswered commands. If closeAfter is set, the connection is closed after closeDelay.
-// Write errors are ignored, since Closed reports a lost connection. A client that leaves more than maxUnreadReplies unread is
-// disconnected. After Set.Remove neither applies: the connection is closed after the last pending reply.
+// Write errors are ignored, since Closed reports a lost connection. A client that leaves more than maxUnreadReplies unread, or
+// more than guaranteedUnreadReplies when all clients together leave too much, is disconnected. After Set.Remove neither applies:
+// the connection is closed after the last pending reply.
 func (c *Conn) Write(replies string, commands int, closeAfter bool) {
 	c.pendingReplies.Add(-int64(commands))
 	_ = c.conn.Write([]byte(replies))
@@ -224,7 +228,7 @@
 		}
 		return
 	}
-	if c.conn.Unsent() > maxUnreadReplies {
+	if c.set.countUnread(c); c.unreadReplies > maxUnreadReplies || c.unreadReplies > guaranteedUnreadReplies && c.set.hasTooMuchUnread() {
 		c.conn.Close()
 	}
 	if closeAfter {
--- a/server/clientconn/set.go
+++ b/server/clientconn/set.go
@@ -28,6 +28,7 @@
 	Conns        int   // maximum number of open connections; beyond it the longest-idle one is closed
 	Admitted     int   // maximum number of accepted connections, including those not yet added to the Set
 	PartialBytes int64 // maximum total size of incomplete commands on all connections, in bytes
+	UnreadBytes  int64 // maximum total size of replies that the sockets of all connections have not taken, in bytes
 }
 
 // Set holds the connections of all clients.
@@ -41,6 +42,8 @@
 	connCount    atomic.Int64
 	partialBytes atomic.Int64
 	partialLimit atomic.Int64
+	unreadBytes  int64 // sum of Conn.unreadReplies
+	unreadLimit  int64
 }
 
 // New returns an empty set. The poller calls notify with each event; notify may block until the event loop takes the event.
@@ -55,6 +58,7 @@
 	s.maxConns = limits.Conns
 	s.admitLimit.Store(int64(limits.Admitted))
 	s.partialLimit.Store(limits.PartialBytes)
+	s.unreadLimit = limits.UnreadBytes
 }
 
 // CanAccept reports whether another connection may be accepted. It is safe for concurrent use.
@@ -85,11 +89,23 @@
 // Remove removes a connection reported by Closed. Pending replies can still be written if the connection is half-closed.
 func (s *Set) Remove(conn *Conn) {
 	delete(s.conns, conn)
+	s.unreadBytes -= conn.unreadReplies
+	conn.unreadReplies = 0
 	if conn.inputEnded = true; !conn.HasPendingReplies() {
 		conn.conn.CloseReplies()
 	}
 }
 
+// countUnread brings the count of a connection's unread replies up to date.
+func (s *Set) countUnread(conn *Conn) {
+	unread := max(0, conn.conn.Unsent())
+	s.unreadBytes += unread - conn.unreadReplies
+	conn.unreadReplies = unread
+}
+
+// hasTooMuchUnread reports whether all clients together leave more replies unread than the limit.
+func (s *Set) hasTooMuchUnread() bool { return s.unreadBytes > s.unreadLimit }
+
 // evictIdle closes one connection that is idle or stuck. It orders connections by the time of their last command, the
 // earliest first. Connections without a command are ordered by the time they were opened, shifted by partialTimeout:
 // earlier, so that they are preferred for closing, or later within NewConnGrace, so that their first command can arrive.
@@ -131,6 +147,7 @@
 	s.sweepAt = never
 	for conn := range s.conns {
 		s.sweepAt = now + sweepInterval
+		s.countUnread(conn)
 		silent := !conn.hasSentCommand.Load() && now-conn.connectedAt > partialTimeout
 		idle := now-conn.lastCommandAt > idleTimeout
 		if silent || idle || conn.isStuck(now) {
--- a/server/clients.go
+++ b/server/clients.go
@@ -31,10 +31,11 @@
 
 // clientLimits derives the limits of client connections from the deployment. Clients may keep 4/10 of all
 // file descriptors, and use up to half of all during a burst of new connections, so that descriptors remain
-// for endpoints and discovery. Partially received commands may use 1/8 of the memory.
+// for endpoints and discovery. Partially received commands may use 1/8 of the memory, and replies that clients do not read 1/16.
 func (s *Server) clientLimits() clientconn.Limits {
 	sockets := s.deployment.MaxDescriptors - AdminSockets(s.deployment)
-	return clientconn.Limits{Conns: sockets * 4 / 10, Admitted: sockets / 2, PartialBytes: int64(s.deployment.MemoryMB) << 20 / 8}
+	memory := int64(s.deployment.MemoryMB) << 20
+	return clientconn.Limits{Conns: sockets * 4 / 10, Admitted: sockets / 2, PartialBytes: memory / 8, UnreadBytes: memory / 16}
 }
 
 // handleClient handles an event of a client connection.
