An id that comes again is recognized, seconds later and over restarts and upgrades

Callers saw: an at-most-once message ran twice when its id came again after its client had left, or at the other process of an upgrade.

Cause: ids of ended messages were remembered for one second after the message was accepted, and in memory alone. Ruled out: messages that had not ended, a full table.

Change: an id is recognized until 30 s after the message's deadline. The record of its removal in the spool says until when, and compaction keeps it. Bounds: 8,192 ids, a sixteenth of the folder. After a restart, the id of a message whose notice is not confirmed gets +OK in place of -BUSY, which would say that trying again is harmless.

--- a/server/message.go
+++ b/server/message.go
@@ -143,7 +143,7 @@
 	if !message.ended {
 		message.ended = true
 		s.counters.ended()
-		s.logSpoolError(s.spool.Remove(message.stored.ID))
+		s.removeFromSpool(message.stored.ID)
 	}
 }
 
--- a/server/notices.go
+++ b/server/notices.go
@@ -172,7 +172,7 @@
 	for _, pending := range call.notices {
 		d.logLateness(pending, err)
 		if pending.done = pending.done || err == nil || d.server.now > pending.expiresAt; pending.done {
-			d.server.logSpoolError(d.server.spool.Remove(pending.content.ID))
+			d.server.removeFromSpool(pending.content.ID)
 		} else {
 			pending.nextAttemptAt = min(pending.nextAttemptAt, d.nextCallAt) // earlier than the backoff if the call failed at once
 		}
--- a/server/recovery.go
+++ b/server/recovery.go
@@ -61,6 +61,7 @@
 	}
 	for _, stored := range unfinished {
 		if stored.FinalOutcome != "" {
+			s.finished.add(&message{stored: stored, acceptedAt: s.now}, s.now)
 			s.discovery.addNotice(stored)
 			continue
 		}
--- a/server/server.go
+++ b/server/server.go
@@ -102,6 +102,8 @@
 	s.shadow.start(s)
 	s.endpointConns = s.newEndpointConns()
 	s.clients = clientconn.New(s.clientLimits(), s.clock, func(event clientconn.Event) { s.queue <- clientEvent{event} })
+	s.finished.onForgotten = func(id dispatch.MessageID) { s.spool.Forget(string(id)) }
+	s.finished.restore(messageSpool.Remembered(), s.now)
 	s.discovery.init(s)
 	s.counters.grow(len(dep.Classes))
 	s.admin.init(s)
--- a/spool/behind.go
+++ b/spool/behind.go
@@ -64,7 +64,7 @@
 func (s *Spool) writeMessage(id string) error {
 	entry := s.entries[id]
 	if entry == nil {
-		return s.appendRecord(encodeUpdate(kindRemoved, update{ID: id}))
+		return s.appendRemoval(id)
 	}
 	payload := s.encodeMessage(entry.message)
 	if err := s.appendRecord(payload); err != nil {
--- a/spool/entry.go
+++ b/spool/entry.go
@@ -15,6 +15,8 @@
 	NewAttempt   *Attempt `json:"t,omitempty"`
 	Outcome      string   `json:"o,omitempty"`
 	RetryAfterMs int64    `json:"m,omitempty"`
+	// RememberUntil is until when the id of a removed message is remembered, in microseconds of the courier's time; 0 if it is not.
+	RememberUntil int64 `json:"u,omitempty"`
 }
 
 // encodeMessage returns the payload of a message record: kind, length of the head, JSON head and body.
@@ -56,6 +58,10 @@
 	if json.Unmarshal(payload[1:], &update) != nil {
 		return false
 	}
+	if payload[0] == kindRemoved {
+		s.applyRemoval(seg, update, int64(len(payload)+recordHeaderSize))
+		return true
+	}
 	entry := s.entries[update.ID]
 	if entry == nil {
 		return true // the message was removed, or its message record was lost in a damaged segment
@@ -71,10 +77,17 @@
 		}
 	case kindEnd:
 		entry.message.FinalOutcome, entry.message.RetryAfterMs = update.Outcome, update.RetryAfterMs
-	case kindRemoved:
-		s.unindex(update.ID)
 	default:
 		return false
 	}
 	return true
 }
+
+// applyRemoval applies the record of a removal.
+func (s *Spool) applyRemoval(seg *segment, removal update, size int64) {
+	s.unindex(removal.ID)
+	if removal.RememberUntil > 0 {
+		s.remember(removal.ID, removal.RememberUntil)
+		s.locateRemembered(removal.ID, seg, size)
+	}
+}
--- a/spool/segment.go
+++ b/spool/segment.go
@@ -219,6 +219,9 @@
 			}
 			s.index(entry.message, s.segments[len(s.segments)-1], int64(len(payload)+recordHeaderSize))
 		}
+		if err := s.rewriteRemembered(oldest); err != nil {
+			return err
+		}
 		if err := s.remove(s.segmentPath(oldest.number)); err != nil {
 			return err
 		}
--- a/spool/spool.go
+++ b/spool/spool.go
@@ -80,7 +80,8 @@
 	compactionErr    error      // last compaction error, until TakeCompactionError returns it
 	segments         []*segment // oldest first; records are appended to the last one
 	entries          map[string]*indexEntry
-	liveBytes        int64  // bytes that remain after a complete compaction, with reserved bytes
+	remembered       rememberedIDs
+	liveBytes        int64  // bytes that remain after a complete compaction, with reserved bytes and remembered ids
 	lastNumber       int64  // Number of the message accepted last
 	scratch          []byte // buffer for encoding a record
 	readOnly         bool   // set by Inspect: the files are not modified
@@ -92,7 +93,7 @@
 	if info, err := os.Stat(dir); err != nil || !info.IsDir() {
 		return nil, nil, fmt.Errorf("%s: no such directory", dir)
 	}
-	s := &Spool{dir: dir, entries: map[string]*indexEntry{}, readOnly: true}
+	s := &Spool{dir: dir, entries: map[string]*indexEntry{}, remembered: rememberedIDs{byID: map[string]*rememberedID{}}, readOnly: true}
 	messages, faults, _, err = s.load()
 	return messages, faults, err
 }
@@ -103,7 +104,7 @@
 // the directory in bytes.
 func Open(dir string, limit int64) (s *Spool, messages []*Message, faults []error, err error) {
 	s = &Spool{dir: dir, limit: limit, segmentSize: max(limit/segmentsPerDir/blockSize*blockSize, 4*blockSize), entries: map[string]*indexEntry{},
-		create: createSegment, remove: os.Remove, backlog: backlog{ids: map[string]bool{}}}
+		remembered: rememberedIDs{byID: map[string]*rememberedID{}}, create: createSegment, remove: os.Remove, backlog: backlog{ids: map[string]bool{}}}
 	messages, faults, nextNumber, err := s.load()
 	if err != nil {
 		return nil, nil, nil, err
@@ -118,6 +119,7 @@
 // index records the segment and the size of the newest message record of a message.
 func (s *Spool) index(message *Message, seg *segment, size int64) {
 	s.unindex(message.ID)
+	s.Forget(message.ID)
 	// Attempts and the end enlarge the message record that compaction writes later. Space is reserved for this
 	// growth, because otherwise compaction could need more than is left.
 	entry := &indexEntry{message: message, recordSize: size, segment: seg, reservedBytes: 1024}
@@ -246,10 +248,14 @@
 		s.backlog.add(update.ID)
 		return s.Flush()
 	}
-	if err := s.appendRecord(encodeUpdate(kind, update)); err != nil {
+	payload := encodeUpdate(kind, update)
+	if err := s.appendRecord(payload); err != nil {
 		s.backlog.add(update.ID)
 		return errors.Join(ErrWriteFailed, err)
 	}
+	if kind == kindRemoved {
+		s.locateRemembered(update.ID, s.segments[len(s.segments)-1], int64(len(payload)+recordHeaderSize))
+	}
 	s.tryCompact()
 	return nil
 }
