An endpoint at the address of a gone one no longer gets its messages

Callers saw: a new process came up at the address of an endpoint that had gone, and work for the old one's destination went there.

Cause: of two listed endpoints at one address, both counted as present; and a call that waited for its connection only asked whether an endpoint of its name was in service, not whether it was still the process at the address. Ruled out: kept connections, an unread list.

Change: endpoints in service whose address belongs to a listed process that started later get no new messages. A call is written only if its endpoint's entry still has the address, start and destination for which the connection was opened.

TestDrainWhileDialingStopsSend failed before the fix in its new cases moved, restart, another destination, and passes.

--- a/cmd/pineport/gone_client_test.go
+++ b/cmd/pineport/gone_client_test.go
@@ -74,7 +74,7 @@
 	const messages = 60
 	between := map[string]func(*supervisor, *instance){
 		"3 s later": func(*supervisor, *instance) { time.Sleep(3 * time.Second) },
-		"at an upgrade's other process": func(p *supervisor, old *instance) {
+		"at an upgrade's other process": func(p *supervisor, _ *instance) {
 			p.requireReady(p.startProcess(p.binary))
 		},
 		"after a planned restart": func(p *supervisor, old *instance) {
--- a/server/calls.go
+++ b/server/calls.go
@@ -101,13 +101,15 @@
 }
 
 // mayCall reports whether a call may still be sent after its connection has been opened. The dispatcher
-// refuses calls while the endpoint list may be outdated.
+// refuses calls while the endpoint list may be outdated. Failure: a call was sent to the address that was dialed, although its endpoint
+// had another one by then, and another endpoint might be there.
 func (s *Server) mayCall(call *call) bool {
 	if guard, ok := s.dispatcher.(dispatch.CallPermitter); ok && !guard.MayCall(s.now) {
 		return false
 	}
-	inService := s.endpoints[call.endpoint].Health == protocol.InService && !s.suspects[call.endpoint]
-	return inService && !s.admin.disabled[string(call.endpoint)] && s.retryAfter[s.groupKey(call.entry)] <= s.now
+	current := s.endpoints[call.endpoint]
+	isSame := peerOf(current) == peerOf(call.entry) && current.Destination == call.entry.Destination
+	return isSame && s.isReachable(call.endpoint) && !s.admin.disabled[string(call.endpoint)] && s.retryAfter[s.groupKey(call.entry)] <= s.now
 }
 
 // prepareCall stores the attempts of a call and builds its request, immediately before the first byte is
--- a/server/endpoints.go
+++ b/server/endpoints.go
@@ -33,6 +33,7 @@
 		update.Entries = append(update.Entries, converted)
 	}
 	update.Entries = append(update.Entries, s.updateSuspects(faults)...)
+	update.Entries = append(update.Entries, s.updateSuperseded()...)
 	if len(usable)+len(faults) > 0 {
 		s.log.Info("endpoint list applied", "version", list.Version, "kind", kind.String(), "entries", len(usable), "ignored", len(faults))
 	}
@@ -132,6 +133,45 @@
 	return entries
 }
 
+// updateSuperseded finds the endpoints whose address belongs to a process that started later: they have gone, and their removal
+// is not known yet. They get no new messages. It returns the current entries of those for which that has changed.
+//
+// Failure: messages for the destination of an endpoint that had gone went to the endpoint of another destination that had come up at its
+// address.
+func (s *Server) updateSuperseded() (entries []dispatch.EndpointEntry) {
+	latest := map[string]int64{} // by address, when the process there started
+	for _, entry := range s.endpoints {
+		if entry.Health == protocol.InService {
+			latest[entry.Address] = max(latest[entry.Address], entry.StartedAtMs)
+		}
+	}
+	superseded := map[dispatch.EndpointID]bool{}
+	var changed []dispatch.EndpointID
+	for id, entry := range s.endpoints {
+		if entry.Health == protocol.InService && entry.StartedAtMs < latest[entry.Address] {
+			superseded[id] = true
+		}
+		if superseded[id] != s.superseded[id] {
+			changed = append(changed, id)
+		}
+	}
+	s.superseded = superseded
+	slices.Sort(changed)
+	for _, id := range changed {
+		if superseded[id] {
+			s.log.Warn("address of endpoint taken over by a later process", "endpoint", id, "address", s.endpoints[id].Address)
+		}
+		converted, _ := s.endpointEntry(s.endpoints[id])
+		entries = append(entries, converted)
+	}
+	return entries
+}
+
+// isReachable reports whether an endpoint is in service and is the process at its address.
+func (s *Server) isReachable(id dispatch.EndpointID) bool {
+	return s.endpoints[id].Health == protocol.InService && !s.suspects[id] && !s.superseded[id]
+}
+
 // faultyEndpoints returns the listed endpoints that faults may refer to, by name or by address.
 func (s *Server) faultyEndpoints(faults []protocol.InvalidEntry) (ids []dispatch.EndpointID) {
 	for _, fault := range faults {
@@ -166,7 +206,7 @@
 // closeUnused forgets the connections to endpoints that are no longer in service or whose peer has changed.
 func (s *Server) closeUnused(before map[dispatch.EndpointID]protocol.Endpoint) {
 	for id, entry := range before {
-		if current := s.endpoints[id]; current.Health != protocol.InService || peerOf(current) != peerOf(entry) {
+		if current := s.endpoints[id]; current.Health != protocol.InService || s.superseded[id] || peerOf(current) != peerOf(entry) {
 			s.endpointConns.Forget(peerOf(entry))
 		}
 	}
@@ -206,13 +246,13 @@
 	return ok && until > s.now || len(s.destinations) == 0
 }
 
-// endpointEntry converts an entry of the list for the dispatcher. Suspects are reported as draining. It
-// returns false if the configuration does not have the entry's zone or type.
+// endpointEntry converts an entry of the list for the dispatcher. Suspects and superseded endpoints are reported as
+// draining. It returns false if the configuration does not have the entry's zone or type.
 func (s *Server) endpointEntry(entry protocol.Endpoint) (dispatch.EndpointEntry, bool) {
 	phases := map[protocol.Health]dispatch.Phase{protocol.InService: dispatch.InService, protocol.Draining: dispatch.Draining,
 		protocol.Removed: dispatch.Removed}
 	phase := phases[entry.Health]
-	if phase == dispatch.InService && s.suspects[dispatch.EndpointID(entry.Host)] {
+	if id := dispatch.EndpointID(entry.Host); phase == dispatch.InService && (s.suspects[id] || s.superseded[id]) {
 		phase = dispatch.Draining
 	}
 	zone, kind := slices.Index(s.deployment.Zones, entry.Zone), slices.Index(s.deployment.EndpointTypes, entry.EndpointType)
--- a/server/server.go
+++ b/server/server.go
@@ -60,6 +60,7 @@
 	inFlight           []*attempt // oldest first
 	endpoints          map[dispatch.EndpointID]protocol.Endpoint
 	suspects           map[dispatch.EndpointID]bool // listed endpoints that unusable list entries may refer to; they get no new messages
+	superseded         map[dispatch.EndpointID]bool // listed endpoints whose address belongs to a later process; they get no new messages
 	destinations       map[int]dispatch.Micros      // when each known destination expires; the constant never while it has listed endpoints
 	retryAfter         map[string]dispatch.Micros   // end of the Retry-After per group key; the dispatcher keeps its own copy
 	endpointConns      *endpointconn.Pool
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -584,13 +584,26 @@
 	}
 }
 
+// changeListed returns a function that applies a list in which all endpoints have changed.
+func changeListed(change func(*protocol.Endpoint)) func(*Server) {
+	return func(s *Server) {
+		for _, entry := range s.endpoints {
+			change(&entry)
+			s.applyEndpoints(protocol.List{Hosts: []protocol.Endpoint{entry}}, dispatch.PartialList)
+		}
+	}
+}
+
 // TestDrainWhileDialingStopsSend: a call is not sent if a drain, removal or Retry-After arrives before its
-// first byte.
+// first byte, or if its endpoint is no longer the process at the address that was dialed.
 func TestDrainWhileDialingStopsSend(t *testing.T) {
 	for name, intervene := range map[string]func(s *Server){
-		"wait":    func(s *Server) { s.retryAfter["1"] = s.now + 1000*1000 },
-		"gone":    func(s *Server) { s.applyEndpoints(protocol.List{Complete: true}, dispatch.CompleteList) },
-		"nothing": func(*Server) {},
+		"wait":                func(s *Server) { s.retryAfter["1"] = s.now + 1000*1000 },
+		"gone":                func(s *Server) { s.applyEndpoints(protocol.List{Complete: true}, dispatch.CompleteList) },
+		"moved":               changeListed(func(entry *protocol.Endpoint) { entry.Address = "127.0.0.1:1" }),
+		"restart":             changeListed(func(entry *protocol.Endpoint) { entry.StartedAtMs++ }),
+		"another destination": changeListed(func(entry *protocol.Endpoint) { entry.Destination++ }),
+		"nothing":             func(*Server) {},
 		"drain": func(s *Server) {
 			for _, entry := range s.endpoints {
 				entry.Health = protocol.Draining
