--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -564,3 +564,39 @@
 		}
 	})
 }
+
+// TestCourierAtAddressOfGoneLender: a courier that came up at the address of one that has gone gets the packets that were for it. What it
+// grants does not count for a courier that asked the gone one, and what was granted to the gone one does not count for it.
+func TestCourierAtAddressOfGoneLender(t *testing.T) {
+	f := newFleet(3) // a asks; b has gone; c is at the address of b
+	f.callRates[0] = 80
+	for range 40 {
+		f.advance(second / 4)
+		for i := range f.allocators {
+			if i != 1 {
+				f.tick(i)
+			}
+		}
+		packets := f.inFlight
+		f.inFlight = nil
+		for _, sent := range packets {
+			if sent.To == "c" {
+				continue // a knows c by its old address, so c gets only what is for b
+			}
+			if sent.To == "b" {
+				sent.To = "c"
+			}
+			f.deliver(sent)
+		}
+	}
+	requester, newcomer := f.allocators[0].counters, f.allocators[2].counters
+	if requester.Requested == 0 || newcomer.Granted == 0 || requester.Rejected == 0 {
+		t.Errorf("too little was played: requests %d, grants of the newcomer %d, rejected leases %d", requester.Requested, newcomer.Granted, requester.Rejected)
+	}
+	if requester.Leased > 0 {
+		t.Errorf("%d leases of a courier that was not asked were accepted", requester.Leased)
+	}
+	if leased := f.appliedShares[0][testKey].Leased; leased > 0 {
+		t.Errorf("the requester uses %.2f of another share", leased)
+	}
+}
