--- a/transport/halfclose.go
+++ b/transport/halfclose.go
@@ -64,45 +64,6 @@
 
 var errNoEpollDescriptor = errors.New("epoll descriptor not found in this version of nbio")
 
-// peerState is what a socket tells of its peer.
-type peerState int
-
-const (
-	peerOpen  peerState = iota // may still send
-	peerEnded                  // has shut down its write side, and may still read
-	peerGone                   // has reset the connection, or has closed it in both directions
-)
-
-// peerStateOf returns the state of a connection's peer. It is peerOpen if the system does not tell.
-func peerStateOf(descriptor int) peerState {
-	pollFds := []unix.PollFd{{Fd: int32(descriptor), Events: unix.POLLRDHUP}}
-	n, err := pollNow(unix.Poll, pollFds)
-	events := pollFds[0].Revents
-	switch {
-	case err != nil || n <= 0 || events&unix.POLLNVAL != 0:
-		return peerOpen
-	case events&(unix.POLLERR|unix.POLLHUP) != 0:
-		return peerGone
-	case events&unix.POLLRDHUP != 0:
-		return peerEnded
-	}
-	return peerOpen
-}
-
-// IsPeerGone reports whether the peer has reset the connection, or the connection has ended for another reason, so that nothing that is
-// written now can reach the peer.
-func (c *Conn) IsPeerGone() bool {
-	c.stateLock.Lock()
-	defer c.stateLock.Unlock()
-	switch {
-	case c.halfClosed:
-		return peerStateOf(c.replyDescriptor) == peerGone
-	case c.descriptorReleased:
-		return true
-	}
-	return c.raw != nil && peerStateOf(c.raw.Hash()) == peerGone
-}
-
 // HalfClosed reports whether the peer has shut down its write side and replies can still be written to it.
 func (c *Conn) HalfClosed() bool {
 	c.stateLock.Lock()
--- /dev/null
+++ b/transport/read.go
@@ -0,0 +1,85 @@
+package transport
+
+import (
+	"errors"
+	"io"
+	"syscall"
+
+	"github.com/lesismal/nbio"
+)
+
+// This file reads from connections, in turns.
+
+// read reads available bytes and passes them to the handler; the poller calls it. handlerLock is held from the
+// read until the handler returns, so a holder of handlerLock knows that all bytes read so far have been handled.
+// A Replier's connection gets one turn, and all of its bytes are read if the peer has ended its sending.
+func (c *Conn) read(raw *nbio.Conn, buffer []byte) {
+	_, takesTurns := c.handler.(Replier)
+	if takesTurns {
+		buffer = buffer[:requesterTurnBytes]
+	}
+	// Read until EAGAIN. Incident: a short read was taken for the last one although more bytes were available,
+	// and the peer's end of file then closed the connection before they were read.
+	for bytesRead := 0; bytesRead < maxConsecutiveReadBytes; bytesRead++ {
+		n, ended := c.readOnce(raw, buffer)
+		if ended {
+			return
+		}
+		bytesRead += n
+		if !takesTurns {
+			continue
+		}
+		switch peerStateOf(raw.Hash()) {
+		case peerOpen:
+			return
+		case peerGone: // nobody waits for replies to the rest
+			c.closeOnPoller(raw, syscall.ECONNRESET)
+			return
+		}
+	}
+}
+
+// readOnce reads once and passes the bytes to the handler. ended means that nothing more can be read now.
+func (c *Conn) readOnce(raw *nbio.Conn, buffer []byte) (n int, ended bool) {
+	c.handlerLock.Lock()
+	if c.closeReported || c.isClosing() {
+		c.handlerLock.Unlock()
+		c.closeOnPoller(raw, ErrClosedLocally)
+		return 0, true
+	}
+	if c.driver.stoppedReading.Load() && !c.hasPartialRequest() {
+		c.handlerLock.Unlock()
+		return 0, true
+	}
+	n, err := raw.Read(buffer)
+	if n > 0 {
+		c.runRecovered(func() { c.handler.Data(c, buffer[:n]) })
+	}
+	if n == 0 && err == nil {
+		err = io.EOF
+		c.duplicateForReplies(raw)
+	}
+	c.handlerLock.Unlock()
+	switch {
+	case err == nil, errors.Is(err, syscall.EINTR):
+		return max(n, 0), false
+	case errors.Is(err, syscall.EAGAIN):
+		return max(n, 0), true
+	}
+	c.closeOnPoller(raw, err)
+	return max(n, 0), true
+}
+
+func (c *Conn) hasPartialRequest() bool {
+	reader, ok := c.handler.(PartialReader)
+	return ok && reader.HasPartialRequest()
+}
+
+// closeOnPoller closes the connection and releases its descriptor; it runs on the poller. nbio reports the close
+// later, when the descriptor number may already belong to another connection.
+func (c *Conn) closeOnPoller(raw *nbio.Conn, err error) {
+	c.stateLock.Lock()
+	c.descriptorReleased = true
+	c.stateLock.Unlock()
+	raw.CloseWithError(err)
+}
