--- a/cmd/pineport/flood_test.go
+++ b/cmd/pineport/flood_test.go
@@ -184,6 +184,9 @@
 		{"unknown destinations", newNames(func(n int) string { return enqueue(fmt.Sprint("f", n), fmt.Sprintf("c=update,d=8000,dest=%d", n+9)) })},
 		{"new tenants", newNames(func(n int) string { return enqueue(fmt.Sprint("f", n), fmt.Sprintf("c=nobody,t=t%d,d=8000,dest=1", n)) })},
 		{"bad framing", repeatText("x")},
+		{"valid messages", newNames(func(n int) string {
+			return enqueue(fmt.Sprint("f", n), fmt.Sprintf("c=update,t=t%d,about=k%d,d=8000,dest=1", n, n))
+		})},
 	}
 	for _, tc := range floods {
 		t.Run(tc.name, func(t *testing.T) {
--- a/spool/entry.go
+++ b/spool/entry.go
@@ -10,13 +10,14 @@
 
 // update is the JSON head of every record except a message record.
 type update struct {
-	ID           string   `json:"id"`
+	ID           string   `json:"id,omitempty"`
 	AttemptIndex int      `json:"n,omitempty"`
 	NewAttempt   *Attempt `json:"t,omitempty"`
 	Outcome      string   `json:"o,omitempty"`
 	RetryAfterMs int64    `json:"m,omitempty"`
 	// RememberUntil is until when the id of a removed message is remembered, in microseconds of the courier's time; 0 if it is not.
-	RememberUntil int64 `json:"u,omitempty"`
+	RememberUntil int64        `json:"u,omitempty"`
+	Remembered    []Remembered `json:"ids,omitempty"` // of a kindRemembered record, which has no ID
 }
 
 // encodeMessage returns the payload of a message record: kind, length of the head, JSON head and body.
@@ -58,8 +59,12 @@
 	if json.Unmarshal(payload[1:], &update) != nil {
 		return false
 	}
-	if payload[0] == kindRemoved {
-		s.applyRemoval(seg, update, int64(len(payload)+recordHeaderSize))
+	switch size := int64(len(payload) + recordHeaderSize); payload[0] {
+	case kindRemoved:
+		s.applyRemoval(seg, update, size)
+		return true
+	case kindRemembered:
+		s.applyRemembered(seg, update.Remembered, size)
 		return true
 	}
 	entry := s.entries[update.ID]
--- a/spool/remembered.go
+++ b/spool/remembered.go
@@ -2,12 +2,11 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 )
 
-// This file keeps the ids of removed messages that must be recognized if they come again. Each is part of the record of its removal, which
-// compaction rewrites like the live messages. All records together take up to rememberedShare of the size limit; beyond it the oldest ids are
+// This file keeps the ids of removed messages that must be recognized if they come again. Each is part of the record of its removal;
+// compaction writes those of a segment anew, several as one record. All records together take up to rememberedShare of the size limit; beyond it the oldest ids are
 // forgotten, as by Forget.
 
 // rememberedShare is the share of the size limit that remembered ids may use, as a divisor.
@@ -40,9 +39,10 @@
 }
 
 // Remembered is the id of a removed message, and until when it is remembered, in microseconds of the courier's time.
+// The JSON tags are the names in the segment files.
 type Remembered struct {
-	ID    string
-	Until int64
+	ID    string `json:"id"`
+	Until int64  `json:"u"`
 }
 
 // Remembered returns the remembered ids, ordered by until when they are.
@@ -92,19 +92,42 @@
 	s.remembered.order = order
 }
 
+// idsPerRecord is how many remembered ids compaction writes as one record.
+const idsPerRecord = 64
+
 // rewriteRemembered writes the remembered ids of a segment, which is about to be removed, to the newest segment.
 func (s *Spool) rewriteRemembered(from *segment) error {
-	for _, id := range slices.Sorted(maps.Keys(s.remembered.byID)) {
-		if s.remembered.byID[id].segment != from {
-			continue
+	var moving []Remembered
+	for _, remembered := range s.Remembered() {
+		if s.remembered.byID[remembered.ID].segment == from {
+			moving = append(moving, remembered)
 		}
-		if err := s.appendRemoval(id); err != nil {
+	}
+	for ids := range slices.Chunk(moving, idsPerRecord) {
+		payload := encodeUpdate(kindRemembered, update{Remembered: ids})
+		if err := s.appendRecord(payload); err != nil {
 			return err
 		}
+		s.locateAllRemembered(ids, s.segments[len(s.segments)-1], int64(len(payload)+recordHeaderSize))
 	}
 	return nil
 }
 
+// locateAllRemembered records the segment of ids that share a record, and counts its size in equal parts.
+func (s *Spool) locateAllRemembered(ids []Remembered, seg *segment, recordSize int64) {
+	for _, remembered := range ids {
+		s.locateRemembered(remembered.ID, seg, recordSize/int64(len(ids))+1)
+	}
+}
+
+// applyRemembered applies a record of remembered ids.
+func (s *Spool) applyRemembered(seg *segment, ids []Remembered, recordSize int64) {
+	for _, remembered := range ids {
+		s.remember(remembered.ID, remembered.Until)
+	}
+	s.locateAllRemembered(ids, seg, recordSize)
+}
+
 // appendRemoval appends the record of a removal, with until when the id is remembered.
 func (s *Spool) appendRemoval(id string) error {
 	removal := update{ID: id}
--- a/spool/spool.go
+++ b/spool/spool.go
@@ -51,11 +51,12 @@
 )
 
 const (
-	kindMessage = 'R' // a complete message, which replaces the earlier state of that message
-	kindAttempt = 'T' // the start of an attempt
-	kindOutcome = 'O' // the outcome of an attempt
-	kindEnd     = 'E' // the message has ended, and its notice is not confirmed yet
-	kindRemoved = 'G' // the message is removed: it ended or was discarded, and no notice is outstanding
+	kindMessage    = 'R' // a complete message, which replaces the earlier state of that message
+	kindAttempt    = 'T' // the start of an attempt
+	kindOutcome    = 'O' // the outcome of an attempt
+	kindEnd        = 'E' // the message has ended, and its notice is not confirmed yet
+	kindRemembered = 'I' // ids of removed messages that are still remembered; builds that do not know it ignore it
+	kindRemoved    = 'G' // the message is removed: it ended or was discarded, and no notice is outstanding
 )
 
 // indexEntry locates the newest message record of a live message.
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -38,7 +38,7 @@
 	maxConsecutiveReadBytes = 64 * readBufferSize
 	// requesterTurnBytes limits the reading of a connection that sends requests, a Replier's, so that those that send without end take
 	// turns with all others. The poller reports the connection again while bytes are left.
-	requesterTurnBytes = 4 << 10
+	requesterTurnBytes = 2 << 10
 	maxWriteBufferSize = 1 << 20 // more than the largest request, which holds five bodies of maximum size
 )
 
