After a start, calls wait for the first answer of discovery

Cause: the first step sent by the configured list, in which the first poll was only started, as a watch. Ruled out: a slow discovery.

Change: the dispatcher is told that its list is an earlier process's. It polls for an answer at once and holds calls back until that poll is answered or has failed, 0.5 s at most. A successor that was handed the list does not wait.

--- a/dispatch/listing.go
+++ b/dispatch/listing.go
@@ -13,6 +13,9 @@
 	// The bound is short because destinations must be served even while discovery is down. It leaves time for one
 	// more poll that times out, after 2.4 s, and one that is answered.
 	staleListHold = 3 * second
+	// firstListHold bounds how long calls are held back after a start until the first poll is answered. It leaves time for a new
+	// connection and an answer over the longest distance, and little is lost where discovery is silent.
+	firstListHold = second / 2
 
 	// The first two retries of a failed poll come after 0.05 to 0.15 s each, as the polls before may have taken
 	// most of the deadline. The longest pause, 0.6 to 1.8 s, allows at least three polls within each ListDeadline,
@@ -40,6 +43,15 @@
 	incompleteReads int    // consecutive polls with a list that could be used only in part
 	mayLackChanges  bool   // since completeAt a poll was not answered in time, or its list could be used only in part
 	unusableReads   int    // consecutive lists in which the source confirmed entries that cannot be used
+	awaitedUntil    Micros // the list is that of an earlier process, and calls wait until then for a newer one; 0 if not
+}
+
+// await holds calls back until the first poll has been answered or has failed, and makes it due at once.
+//
+// Failure: a process that had restarted sent the messages it held by the list of its configuration, some milliseconds before discovery
+// answered. An endpoint of another destination had the address of one that had gone, and took them.
+func (l *listStatus) await(now Micros) {
+	l.awaitedUntil, l.pollAt = now+firstListHold, now
 }
 
 // recordFailure schedules the next poll after a failed one. silent is set if the poll was not answered in time.
@@ -49,6 +61,7 @@
 // failures, and its maximum is bound by ListDeadline.
 func (l *listStatus) recordFailure(now Micros, silent bool, rng *rand.Rand) {
 	l.failures++
+	l.awaitedUntil = 0
 	l.mayLackChanges = l.mayLackChanges || silent
 	pause := min(firstListRetry<<min(max(0, l.failures-2), 10), maxListRetry)
 	l.pollAt = now + pause/2 + Micros(rng.Int63n(int64(pause)))
@@ -60,7 +73,7 @@
 		l.completeAt = now
 		return
 	}
-	l.pollAt, l.failures = never, 0
+	l.pollAt, l.failures, l.awaitedUntil = never, 0, 0
 	if event.Incomplete {
 		l.mayLackChanges = true
 		l.pollAt = now + min(firstIncompleteRetry<<min(l.incompleteReads, 10), maxIncompleteRetry)
@@ -76,15 +89,19 @@
 	l.unusableReads++
 }
 
-// startPoll returns the poll that is due. After a failure it requests an answer at once, so that a missing answer
+// startPoll returns the poll that is due. After a failure or a start it requests an answer at once, so that a missing answer
 // is noticed early.
 func (l *listStatus) startPoll() WatchEndpoints {
 	l.pollAt = never
-	return WatchEndpoints{Whole: l.incompleteReads > incrementalRetries || l.unusableReads > 0, Immediate: l.failures+l.incompleteReads > 0}
+	return WatchEndpoints{Whole: l.incompleteReads > incrementalRetries || l.unusableReads > 0, Immediate: l.failures+l.incompleteReads > 0 || l.awaitedUntil > 0}
 }
 
-// stale reports whether the list may lack a change past its deadline, and until when calls are held back for it.
+// stale reports whether the list may lack a change past its deadline, or is still that of an earlier process, and until when calls are held
+// back for it.
 func (l *listStatus) stale(now Micros) (until Micros, stale bool) {
+	if now < l.awaitedUntil {
+		return l.awaitedUntil, true
+	}
 	deadline := l.completeAt + ListDeadline
 	return deadline + staleListHold, l.mayLackChanges && now >= deadline && now < deadline+staleListHold
 }
--- a/dispatch/listing_test.go
+++ b/dispatch/listing_test.go
@@ -116,3 +116,48 @@
 		previous = pause
 	}
 }
+
+// TestCallsWaitForFirstList guards against calls that leave after a start by the list of an earlier process, although discovery answers in
+// a moment. If it fails or says nothing, they leave by that list, after firstListHold at the latest.
+func TestCallsWaitForFirstList(t *testing.T) {
+	entry := EndpointEntry{Endpoint: "old", Destination: 1, Rate: 50}
+	for name, tc := range map[string]struct {
+		at     Micros
+		event  Event // at that instant; nil if none
+		endsAt EndpointID
+	}{
+		"answered":                {50 * millisecond, EndpointUpdate{Kind: CompleteList, Entries: []EndpointEntry{{Endpoint: "new", Destination: 1, Rate: 50}}}, "new"},
+		"answered without change": {50 * millisecond, EndpointUpdate{Kind: PartialList}, "old"},
+		"failed":                  {50 * millisecond, EndpointUpdate{Kind: ListFailed}, "old"},
+		"silent":                  {firstListHold, TimerFired{}, "old"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := New(Config{Seed: 1, Couriers: 1, Slots: 5, MaxAttempts: 3, Tick: 5 * millisecond, IdleTimeout: 5 * second, SlowStart: 10 * second,
+				Classes: []Class{{Objective: second, TimeToLive: 20 * second, Priority: 1}}, EndpointTypes: []EndpointType{{MaxPerCall: 1}}})
+			held := MessageRecovered{MessageAccepted: MessageAccepted{Message: "held", Destination: 1, Deadline: 20 * second}}
+			started := d.Handle(0, []Event{EndpointUpdate{Kind: CachedList, Entries: []EndpointEntry{entry}}, held, ListAwaited{}})
+			if sent, polls := sendsAndPolls(started); len(sent) > 0 || len(polls) != 1 || !polls[0].Immediate {
+				t.Errorf("at the start: sent to %v, polls %+v; want one poll for an answer at once", sent, polls)
+			}
+			if sent, _ := sendsAndPolls(d.Handle(tc.at-1, []Event{TimerFired{}})); len(sent) > 0 || d.MayCall(tc.at-1) {
+				t.Errorf("sent to %v before the first poll ended", sent)
+			}
+			if sent, _ := sendsAndPolls(d.Handle(tc.at, []Event{tc.event})); len(sent) != 1 || sent[0] != tc.endsAt {
+				t.Errorf("sent to %v after it, want %s", sent, tc.endsAt)
+			}
+		})
+	}
+}
+
+// sendsAndPolls returns the endpoints that messages were sent to, and the polls.
+func sendsAndPolls(actions []Action) (endpoints []EndpointID, polls []WatchEndpoints) {
+	for _, action := range actions {
+		switch a := action.(type) {
+		case Send:
+			endpoints = append(endpoints, a.Endpoint)
+		case WatchEndpoints:
+			polls = append(polls, a)
+		}
+	}
+	return endpoints, polls
+}
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -103,6 +103,8 @@
 		d.reconfigure(e.Config)
 	case QuotaChanged:
 		d.applyShares(e)
+	case ListAwaited:
+		d.listStatus.await(d.now)
 	case MaintenanceChanged:
 		d.setDisabled(e)
 	case MessageCanceled:
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -207,6 +207,8 @@
 	// Reconfigured replaces the configuration. Existing classes, endpoint types, zones and tenants keep their indexes, and
 	// new ones are appended. The seed and the endpoint list do not change.
 	Reconfigured struct{ Config Config }
+	// ListAwaited reports that the endpoint list is that of an earlier process, and can be polled now.
+	ListAwaited struct{}
 	// MaintenanceChanged reports that an operator disabled an endpoint, regardless of its phase on the list, or enabled it
 	// again.
 	MaintenanceChanged struct {
@@ -265,6 +267,7 @@
 func (RetryAfterReceived) event() {}
 func (ShutdownScheduled) event()  {}
 func (Reconfigured) event()       {}
+func (ListAwaited) event()        {}
 func (MaintenanceChanged) event() {}
 func (MessageCanceled) event()    {}
 func (TimerFired) event()         {}
--- a/server/handoff.go
+++ b/server/handoff.go
@@ -214,6 +214,9 @@
 	h.unlisted = nil
 }
 
+// hasPredecessor reports whether this process has taken over from another one, with its endpoint list.
+func (h *handoffState) hasPredecessor() bool { return h.predecessor != nil }
+
 // requestCancel asks the predecessor to cancel an attempt.
 func (h *handoffState) requestCancel(attempt *attempt) {
 	if h.predecessor != nil {
--- a/server/server.go
+++ b/server/server.go
@@ -187,7 +187,11 @@
 		return err
 	}
 	s.driver = driver
-	s.discovery.start()
+	if s.handoff.hasPredecessor() {
+		s.discovery.start()
+	} else { // the dispatcher decides on the first poll
+		s.events = append(s.events, dispatch.ListAwaited{})
+	}
 	s.step()
 	s.admin.serving.Store(!s.admin.isDraining())
 	s.handoff.announceServing()
