New connections are served beside a flood: the loop gives way, and a step ends after 256 commands

Cause: limits.cores 1. The event loop and the poller hand each other work over the queue; the Go scheduler runs such a pair in one slice, and looks at its global queue, where a woken goroutine and one that was preempted wait, once in 61 turns. The goroutine that accepts connections waited there. Ruled out: the poller's turns (connections that are kept had all their answers).

Change: the loop yields once a step. A step handles 256 commands at most, so that replies are written and deadlines are looked at sooner; catching up after a pause and a handoff take the whole queue as before.

--- a/server/queue.go
+++ b/server/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"runtime/debug"
 	"time"
 
@@ -43,20 +44,42 @@
 	}
 }
 
+// maxCommandsPerStep bounds the client commands that are handled before their replies are written, and deadlines, notices and drains are
+// looked at. One event may exceed it.
+const maxCommandsPerStep = 256
+
 // handleQueued handles the queued events, those of the control queue first. It handles at most as many
 // events as fit in the queue, so that it ends under load.
-func (s *Server) handleQueued() {
+func (s *Server) handleQueued() { s.handleUpTo(math.MaxInt) }
+
+// handleUpTo is handleQueued, and ends once so many client commands have been handled.
+func (s *Server) handleUpTo(maxCommands int) {
 	for range len(s.control) {
 		s.handle(<-s.control)
 	}
+	commands := 0
 	for range cap(s.queue) {
 		select {
 		case e := <-s.queue:
+			commands += commandCount(e)
 			s.handle(e)
 		default:
 			return
 		}
+		if commands >= maxCommands {
+			return
+		}
+	}
+}
+
+// commandCount returns the number of client commands in an event.
+func commandCount(e event) int {
+	if client, ok := e.(clientEvent); ok {
+		if commands, ok := client.Event.(clientconn.Commands); ok {
+			return commands.Count()
+		}
 	}
+	return 0
 }
 
 // event is something that happened outside of the event loop. Other goroutines queue events, and the event
--- a/server/server.go
+++ b/server/server.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"math"
 	"net"
+	"runtime"
 	"sync/atomic"
 	"time"
 
@@ -152,7 +153,7 @@
 		}
 		s.handle(next)
 		s.catchUpAfterPause(due)
-		s.handleQueued()
+		s.handleUpTo(maxCommandsPerStep)
 		s.guardedStep()
 		s.handoff.handOver()
 		if s.handoff.reclaim {
@@ -162,6 +163,9 @@
 		if s.advanceShutdown() {
 			return s.finishShutdown()
 		}
+		// On one core, the loop and the poller hand work to each other without end under load. Failure: the goroutine that accepts
+		// connections waited for a turn of the scheduler longer than clients wait for a reply.
+		runtime.Gosched()
 	}
 }
 
