Test of two members waits until both are complete: either may be first

Cause: the test waited only for the member that joins. The member that is joined sends its list before it merges the other's, so the joining one may be complete first, and the test looked at the other too early. Ruled out: a report that is lost.

Change: the test waits for both members, up to the same 40 s, and then asks for the same as before: each lists exactly the other one, alive.

--- a/membership/gossip/gossip_test.go
+++ b/membership/gossip/gossip_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"runtime"
+	"slices"
 	"strconv"
 	"testing"
 	"testing/synctest"
@@ -399,10 +400,13 @@
 		t.Error("no packet or stream was rejected")
 	}
 	b := open("b", "f", key, freeLoopbackAddress(t))
-	for end := time.Now().Add(40 * time.Second); b.Snapshot().LocalStatus != membership.Complete.String() && time.Now().Before(end); {
+	both := []*Member{a, b}
+	// The member that is joined sends its list before it merges the other's, so either of the two may be complete first.
+	isIncomplete := func(member *Member) bool { return member.Snapshot().LocalStatus != membership.Complete.String() }
+	for end := time.Now().Add(40 * time.Second); slices.ContainsFunc(both, isIncomplete) && time.Now().Before(end); {
 		time.Sleep(10 * time.Millisecond)
 	}
-	for _, member := range []*Member{a, b} {
+	for _, member := range both {
 		if snapshot := member.Snapshot(); len(snapshot.Members) != 1 || snapshot.Members[0].State != membership.Alive {
 			t.Errorf("%s: got members %+v, want the other member of the fleet, alive", snapshot.Self, snapshot.Members)
 		}
