A half-closed client is read in turns, whole, and gets all its replies

What callers saw: beside a client that sends much and ends its sending, the others waited until up to 1 MB of it was read; bytes behind 1 MB were cut off with a reset; replies that its socket did not take at once were lost.

Cause: nbio closes a connection after the event that reports the peer's end, so all was read in that event, and what nbio had queued went with its descriptor. Ruled out: the limit on unread replies, a reset taken for an end (docs/incidents/half-closed-rest.md).

Change: after one turn such a connection leaves nbio, with a duplicate of its descriptor and a copy of what is unsent. A reply counts as given once it has been written, as the connection is closed when none is pending.

--- a/server/clientconn/conn.go
+++ b/server/clientconn/conn.go
@@ -220,8 +220,8 @@
 // more than guaranteedUnreadReplies when all clients together leave too much, is disconnected. After Set.Remove neither applies:
 // the connection is closed after the last pending reply.
 func (c *Conn) Write(replies string, commands int, closeAfter bool) {
-	c.pendingReplies.Add(-int64(commands))
 	_ = c.conn.Write([]byte(replies))
+	c.pendingReplies.Add(-int64(commands)) // only now, as a half-closed connection is closed when none is pending
 	if c.inputEnded {
 		if !c.HasPendingReplies() {
 			c.conn.CloseReplies()
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -24,7 +24,7 @@
 	driver             *Driver
 	handler            Handler
 	acceptDelay        time.Duration // see AcceptDelay
-	stateLock          sync.Mutex    // guards raw, closing, descriptorReleased, expiry, closeReason, halfClosed and replyDescriptor
+	stateLock          sync.Mutex    // guards raw, closing, descriptorReleased, expiry, closeReason, and what is in halfclose.go
 	raw                *nbio.Conn
 	closing            bool
 	descriptorReleased bool        // the descriptor number is about to be free, or already belongs to another connection
@@ -35,9 +35,13 @@
 	closeReported      bool        // Handler.Closed has been called, or is about to be
 	queuedBytes        atomic.Int64
 	writtenBytes       atomic.Int64
+	writeLock          sync.Mutex // held by Write, and before stateLock; guards unsent
+	unsent             []byte     // the bytes that the socket has not taken yet; of a Replier's connection only
 
-	halfClosed      bool // the peer has shut down its write side, and replies to it are still pending
-	replyDescriptor int  // duplicate descriptor for these replies; valid while halfClosed
+	halfClosed      bool      // the peer has shut down its write side, and this connection has left nbio for replyDescriptor
+	replyDescriptor int       // duplicate descriptor; valid while halfClosed
+	restUnread      bool      // what the peer sent before it shut down its write side has not been read whole
+	repliesEndBy    time.Time // when the descriptor is closed at the latest, after CloseReplies; otherwise zero
 }
 
 // AcceptDelay returns how long the connection may have waited until it was accepted; bytes read from it first may be as old. It is 0 for
@@ -46,6 +50,8 @@
 
 // Write writes bytes to the socket. Bytes that the socket does not take at once are queued and written later.
 func (c *Conn) Write(b []byte) error {
+	c.writeLock.Lock()
+	defer c.writeLock.Unlock()
 	raw := c.openConn()
 	if raw == nil {
 		return c.writeReply(b)
@@ -54,9 +60,6 @@
 	if c.Unsent() == int64(len(b)) { // nbio holds no queued bytes
 		n, err := c.writeNow(raw, b)
 		if err != nil {
-			if c.HalfClosed() { // nbio has just closed it
-				return c.writeReply(b)
-			}
 			c.shutDown()
 			return err
 		}
@@ -65,9 +68,30 @@
 		}
 	}
 	_, err := raw.Write(b)
+	if _, isReplier := c.handler.(Replier); isReplier {
+		c.unsent = append(c.unsent, b...)
+		c.trimUnsent()
+	}
 	return err
 }
 
+// recordWritten counts bytes that nbio has written. nbio may call it during Write.
+func (c *Conn) recordWritten(n int) {
+	c.writtenBytes.Add(int64(n))
+	if c.Flushed() && c.writeLock.TryLock() {
+		c.trimUnsent()
+		c.writeLock.Unlock()
+	}
+}
+
+// trimUnsent drops from unsent what the socket has taken. The caller holds writeLock.
+func (c *Conn) trimUnsent() {
+	taken := len(c.unsent) - int(max(0, c.Unsent()))
+	if c.unsent = c.unsent[max(0, taken):]; len(c.unsent) == 0 {
+		c.unsent = nil
+	}
+}
+
 // writeNow writes as many bytes as the socket takes at once. It does not use nbio's Write, which on an error closes
 // the connection and releases its descriptor outside the poller; see shutDown.
 func (c *Conn) writeNow(raw *nbio.Conn, b []byte) (n int, err error) {
@@ -143,7 +167,7 @@
 		c.closeReason = reason
 	}
 	c.stateLock.Unlock()
-	c.CloseReplies()
+	c.closeReplyDescriptor()
 	if raw != nil {
 		c.shutDown()
 	} else if c.cancelDial != nil {
@@ -236,6 +260,9 @@
 
 // hasUnreadData reports whether received bytes or an end of file are unread. The caller holds handlerLock.
 func (c *Conn) hasUnreadData() bool {
+	if c.hasUnreadRest() {
+		return true
+	}
 	raw := c.openConn()
 	return raw != nil && isReadable(raw.Hash()) // Hash returns the descriptor
 }
@@ -246,10 +273,11 @@
 	return c.closing
 }
 
+// openConn returns the connection of nbio, or nil if it is closing or has left nbio.
 func (c *Conn) openConn() *nbio.Conn {
 	c.stateLock.Lock()
 	defer c.stateLock.Unlock()
-	if c.closing {
+	if c.closing || c.halfClosed {
 		return nil
 	}
 	return c.raw
--- a/transport/halfclose.go
+++ b/transport/halfclose.go
@@ -5,13 +5,15 @@
 	"io"
 	"net"
 	"reflect"
+	"time"
 
 	"github.com/lesismal/nbio"
 	"golang.org/x/sys/unix"
 )
 
-// A peer may shut down its write side and still wait for replies. nbio closes a connection as soon as it reads end of
-// file, so the descriptor is duplicated before that, and the pending replies are written to the duplicate.
+// A peer may shut down its write side and still wait for replies, also to bytes that are still unread. nbio closes a connection as soon as it
+// reports that. The descriptor is therefore duplicated before that, and the connection leaves nbio: what is unread is read from the duplicate,
+// and replies are written to it.
 
 // Replier is a Handler that replies to the peer and may have replies pending.
 type Replier interface {
@@ -20,32 +22,58 @@
 	HasPendingReplies() bool
 }
 
-// duplicateForReplies duplicates the descriptor of a connection whose peer has shut down its write side, if replies are
-// pending. It does nothing if nbio still holds queued bytes: these are lost when nbio closes its own descriptor, and the
-// peer could not interpret replies with a gap before them. The caller holds handlerLock and closes the connection afterwards.
-//
-// The descriptor is removed from epoll first. epoll keeps reporting a descriptor number as long as any duplicate is open,
-// while nbio relies on close to remove it. Incident: epoll reported the end of the old connection under a descriptor number
-// that a new connection had by then, and the new connection was closed with its first request unanswered.
-func (c *Conn) duplicateForReplies(raw *nbio.Conn) {
+// leavePoller hands a connection to restReader if its peer has shut down its write side and bytes may be unread. It returns false if that is
+// not possible: all bytes must be read now.
+func (c *Conn) leavePoller(raw *nbio.Conn) bool {
+	c.handlerLock.Lock()
+	left := !c.closeReported && c.duplicate(raw, true)
+	c.handlerLock.Unlock()
+	if !left {
+		return false
+	}
+	c.closeOnPoller(raw, io.EOF)
+	c.driver.rests.add(c)
+	return true
+}
+
+// keepForReplies keeps a connection open for its replies if its peer has shut down its write side, all bytes have been read, and replies are
+// pending or unsent. The caller holds handlerLock and closes nbio's connection afterwards.
+func (c *Conn) keepForReplies(raw *nbio.Conn) {
 	replier, ok := c.handler.(Replier)
-	if !ok || !replier.HasPendingReplies() || !c.Flushed() || peerStateOf(raw.Hash()) != peerEnded {
+	if !ok || !replier.HasPendingReplies() && c.Flushed() || peerStateOf(raw.Hash()) != peerEnded {
 		return
 	}
-	if c.driver.removeFromPoll(raw.Hash()) != nil {
+	if !c.duplicate(raw, false) {
 		return
 	}
-	duplicate, err := unix.FcntlInt(uintptr(raw.Hash()), unix.F_DUPFD_CLOEXEC, 0)
-	if err != nil {
-		return // for example, the descriptor limit is reached
+	if !replier.HasPendingReplies() {
+		c.CloseReplies()
+	}
+	if !c.Flushed() {
+		c.driver.rests.add(c)
 	}
+}
+
+// duplicate duplicates the descriptor of a connection, which is half-closed from then on. It returns false if there is no descriptor left.
+//
+// The descriptor is removed from epoll first. epoll keeps reporting a descriptor number as long as any duplicate is open,
+// while nbio relies on close to remove it. Incident: epoll reported the end of the old connection under a descriptor number
+// that a new connection had by then, and the new connection was closed with its first request unanswered.
+func (c *Conn) duplicate(raw *nbio.Conn, restUnread bool) bool {
+	c.writeLock.Lock() // so that unsent holds what nbio has not written
+	defer c.writeLock.Unlock()
 	c.stateLock.Lock()
 	defer c.stateLock.Unlock()
-	if c.halfClosed {
-		unix.Close(duplicate)
-		return
+	if c.closing || c.halfClosed || c.driver.removeFromPoll(raw.Hash()) != nil {
+		return false
 	}
-	c.halfClosed, c.replyDescriptor = true, duplicate
+	descriptor, err := unix.FcntlInt(uintptr(raw.Hash()), unix.F_DUPFD_CLOEXEC, 0)
+	if err != nil {
+		return false
+	}
+	c.trimUnsent()
+	c.halfClosed, c.restUnread, c.replyDescriptor = true, restUnread, descriptor
+	return true
 }
 
 // removeFromPoll removes a descriptor from nbio's epoll instance. nbio exports neither a function for this nor the epoll
@@ -71,23 +99,77 @@
 	return c.halfClosed
 }
 
-// writeReply writes to a half-closed connection. Replies are short; bytes that the socket does not take at once are
-// lost, and writeReply returns io.ErrShortWrite.
+// hasUnreadRest reports whether the peer has shut down its write side, and not all that it sent before has been read.
+func (c *Conn) hasUnreadRest() bool {
+	c.stateLock.Lock()
+	defer c.stateLock.Unlock()
+	return c.restUnread
+}
+
+// writeReply writes to a half-closed connection. The caller holds writeLock. Bytes that the socket does not take at once are written by
+// restReader.
 func (c *Conn) writeReply(b []byte) error {
+	if !c.HalfClosed() {
+		return net.ErrClosed
+	}
+	if len(c.unsent)+len(b) > maxWriteBufferSize {
+		c.closeReplyDescriptor()
+		return errWriteBufferFull
+	}
+	c.queuedBytes.Add(int64(len(b)))
+	c.unsent = append(c.unsent, b...)
+	err := c.sendUnsent()
+	if err == nil && len(c.unsent) > 0 {
+		c.driver.rests.add(c)
+	}
+	return err
+}
+
+var errWriteBufferFull = errors.New("the peer leaves too many replies unread")
+
+// sendUnsent writes as many unsent bytes to a half-closed connection as the socket takes. The caller holds writeLock.
+func (c *Conn) sendUnsent() error {
 	c.stateLock.Lock()
 	defer c.stateLock.Unlock()
 	if !c.halfClosed {
 		return net.ErrClosed
 	}
-	n, err := unix.Write(c.replyDescriptor, b)
-	if err == nil && n < len(b) {
-		err = io.ErrShortWrite
+	if len(c.unsent) == 0 {
+		return nil
 	}
-	return err
+	n, err := unix.Write(c.replyDescriptor, c.unsent)
+	if errors.Is(err, unix.EAGAIN) || errors.Is(err, unix.EINTR) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	c.writtenBytes.Add(int64(n))
+	c.trimUnsent()
+	return nil
 }
 
-// CloseReplies closes the descriptor kept for replies, if there is one. Call it after the last reply.
+// replySendTimeout is how long after the last reply the peer of a half-closed connection may take to read all of them.
+const replySendTimeout = 2 * time.Second
+
+// CloseReplies closes a half-closed connection once the socket has taken all replies, at most replySendTimeout later. It does nothing to
+// other connections. Call it after the last reply.
 func (c *Conn) CloseReplies() {
+	c.writeLock.Lock()
+	defer c.writeLock.Unlock()
+	if len(c.unsent) == 0 {
+		c.closeReplyDescriptor()
+		return
+	}
+	c.stateLock.Lock()
+	defer c.stateLock.Unlock()
+	if c.repliesEndBy.IsZero() {
+		c.repliesEndBy = time.Now().Add(replySendTimeout)
+	}
+}
+
+// closeReplyDescriptor closes the descriptor of a half-closed connection.
+func (c *Conn) closeReplyDescriptor() {
 	c.stateLock.Lock()
 	defer c.stateLock.Unlock()
 	if c.halfClosed {
--- a/transport/read.go
+++ b/transport/read.go
@@ -12,7 +12,8 @@
 
 // read reads available bytes and passes them to the handler; the poller calls it. handlerLock is held from the
 // read until the handler returns, so a holder of handlerLock knows that all bytes read so far have been handled.
-// A Replier's connection gets one turn, and all of its bytes are read if the peer has ended its sending.
+// A Replier's connection gets one turn. If its peer has ended its sending, the rest is read in turns by restReader, as nbio closes the
+// connection after this event.
 func (c *Conn) read(raw *nbio.Conn, buffer []byte) {
 	_, takesTurns := c.handler.(Replier)
 	if takesTurns {
@@ -35,6 +36,10 @@
 		case peerGone: // nobody waits for replies to the rest
 			c.closeOnPoller(raw, syscall.ECONNRESET)
 			return
+		case peerEnded:
+			if c.leavePoller(raw) {
+				return
+			}
 		}
 	}
 }
@@ -57,7 +62,7 @@
 	}
 	if n == 0 && err == nil {
 		err = io.EOF
-		c.duplicateForReplies(raw)
+		c.keepForReplies(raw)
 	}
 	c.handlerLock.Unlock()
 	switch {
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -50,6 +50,7 @@
 	stoppedReading   atomic.Bool // after StopReading
 	log              *slog.Logger
 	acceptWait       acceptWait
+	rests            restReader
 	// registeredConns is incremented for each connection passed to nbio. Its value is not used; it serves as a memory
 	// barrier. nbio's connection table guarantees no ordering, so code that gets a connection from that table loads
 	// this counter first, and thereby sees all writes made before the increment.
@@ -126,11 +127,11 @@
 	})
 	driver.engine.OnWrittenSize(func(raw *nbio.Conn, _ []byte, n int) {
 		if conn, ok := driver.connOf(raw); ok {
-			conn.writtenBytes.Add(int64(n))
+			conn.recordWritten(n)
 		}
 	})
 	driver.engine.OnClose(func(raw *nbio.Conn, err error) {
-		if conn, ok := driver.connOf(raw); ok {
+		if conn, ok := driver.connOf(raw); ok && !conn.hasUnreadRest() {
 			conn.reportClosed(err)
 		}
 	})
@@ -165,6 +166,7 @@
 	if alreadyClosed {
 		return
 	}
+	d.rests.closeAll()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	_ = d.engine.Shutdown(ctx) // connections still open after the timeout end with the process
