Endpoints that answer without end take turns, and the poller gives way to the event loop

What callers saw: beside 11 calls that an endpoint answers with interim responses without end, the slowest of 15 other clients waited 169 and 490 ms for a reply, and 293 to 338 of some 700 requests could be sent in 5 s (2 runs).

Cause: a connection to an endpoint was read until nothing was left, up to 1 MB an event. Ruled out: memory (17 to 18 MB of 48).

Change: every open connection gets one read an event, 16 kB for those to endpoints and discovery; only if the peer has ended, all is read as before, as nbio closes the connection then. After a full buffer the poller gives way.

TestRespondersTakeTurns fails before: 4 reads of each of 1, 5 and 50 connections come before the first read of a client; one after.

--- a/cmd/pineport/flood_test.go
+++ b/cmd/pineport/flood_test.go
@@ -225,3 +225,40 @@
 		})
 	}
 }
+
+// TestOthersAreAnsweredBesideEndlessAnswers guards against endpoints whose answers never end and that keep clients from their replies.
+func TestOthersAreAnsweredBesideEndlessAnswers(t *testing.T) {
+	const clients, span, endlessCalls, memoryMB = 15, 5 * time.Second, 100, 48
+	world, err := scripted.Open(3, func(id string) scripted.Response {
+		return scripted.Response{Status: 200, Endless: strings.HasPrefix(id, "endless")}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer world.Close()
+	c := newCourier(t, world)
+	c.replaceInConfig(`"memory_mb": 192`, fmt.Sprintf(`"memory_mb": %d`, memoryMB))
+	c.start()
+	var commands []string
+	for n := range endlessCalls {
+		commands = append(commands, encodeEnqueue(fmt.Sprint("endless-", n), "update", 8000))
+	}
+	c.send(commands...)
+	others := startPatientClients(c.listen, clients)
+	time.Sleep(span)
+	others.stop()
+	endless := 0
+	for n := range endlessCalls {
+		started, _, _ := world.MessageCalls(fmt.Sprint("endless-", n))
+		endless += started
+	}
+	peak := peakMemory(t, c.cmd.Process.Pid)
+	t.Logf("beside %d endless answers, %d of %d requests without an answer in %v, the slowest took %v; peak memory %.1f MB", endless, others.late, others.submitted,
+		clientPatience, others.slowest.Round(time.Millisecond), float64(peak)/(1<<20))
+	if others.late > 0 || others.submitted < clients*10 || endless == 0 {
+		t.Errorf("%d of %d requests without an answer in %v", others.late, others.submitted, clientPatience)
+	}
+	if peak > memoryMB<<20 {
+		t.Errorf("peak memory %.1f MB, limit %d MB", float64(peak)/(1<<20), memoryMB)
+	}
+}
--- a/testbed/scripted/scripted.go
+++ b/testbed/scripted/scripted.go
@@ -24,6 +24,7 @@
 	Delay     time.Duration // delay before the answer
 	BackoffMs int           // X-Backoff-Ms header in milliseconds, sent with a status other than 200; 0: no header
 	Body      string        // body of an answer with status 200 to a call with one message; empty: the message id and a newline
+	Endless   bool          // interim responses without end, and no final one
 }
 
 // Violations counts calls that a correct courier never makes.
@@ -279,6 +280,10 @@
 	}
 	w.mu.Unlock()
 	time.Sleep(response.Delay)
+	if response.Endless {
+		writeInterimResponses(rw)
+		return response, false
+	}
 	switch response.Status {
 	case 0:
 		if conn, _, err := rw.(http.Hijacker).Hijack(); err == nil {
@@ -304,6 +309,19 @@
 	return response, false
 }
 
+// writeInterimResponses writes interim responses until the connection is closed.
+func writeInterimResponses(rw http.ResponseWriter) {
+	conn, _, err := rw.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	text := []byte(strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 1000))
+	for err == nil {
+		_, err = conn.Write(text)
+	}
+}
+
 // trackOrdering checks the order of messages with ids such as line-KEY-7, in which 7 is the position for the ordering key KEY. It returns a
 // function to call when the call ends. The caller of trackOrdering holds the lock; the caller of the returned function does not.
 func (w *World) trackOrdering(id string) func() {
--- a/transport/read.go
+++ b/transport/read.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"runtime"
 	"syscall"
 
 	"github.com/lesismal/nbio"
@@ -12,34 +13,33 @@
 
 // read reads available bytes and passes them to the handler; the poller calls it. handlerLock is held from the
 // read until the handler returns, so a holder of handlerLock knows that all bytes read so far have been handled.
-// A Replier's connection gets one turn. If its peer has ended its sending, the rest is read in turns by restReader, as nbio closes the
-// connection after this event.
+//
+// An open connection gets one turn; the poller reports it again while bytes are left. If the peer has ended, the rest must be read now, as nbio
+// closes the connection after this event. Incident: a short read was taken for the last one although more bytes were available, and the peer's
+// end of file then closed the connection before they were read. Only of a Replier the rest is read in turns, by restReader.
 func (c *Conn) read(raw *nbio.Conn, buffer []byte) {
-	_, takesTurns := c.handler.(Replier)
-	if takesTurns {
+	_, isReplier := c.handler.(Replier)
+	if isReplier {
 		buffer = buffer[:requesterTurnBytes]
 	}
-	// Read until EAGAIN. Incident: a short read was taken for the last one although more bytes were available,
-	// and the peer's end of file then closed the connection before they were read.
 	for bytesRead := 0; bytesRead < maxConsecutiveReadBytes; bytesRead++ {
 		n, ended := c.readOnce(raw, buffer)
 		if ended {
 			return
 		}
 		bytesRead += n
-		if !takesTurns {
-			continue
-		}
-		switch peerStateOf(raw.Hash()) {
-		case peerOpen:
+		switch peer := peerStateOf(raw.Hash()); {
+		case peer == peerOpen:
+			if n == len(buffer) { // more may come at once: on one core, all others get the processor in between
+				runtime.Gosched()
+			}
 			return
-		case peerGone: // nobody waits for replies to the rest
+		case !isReplier:
+		case peer == peerGone: // nobody waits for replies to the rest
 			c.closeOnPoller(raw, syscall.ECONNRESET)
 			return
-		case peerEnded:
-			if c.leavePoller(raw) {
-				return
-			}
+		case c.leavePoller(raw):
+			return
 		}
 	}
 }
--- a/transport/rest_test.go
+++ b/transport/rest_test.go
@@ -17,7 +17,12 @@
 // waitRead waits until n bytes of a peer have been read.
 func waitRead(t *testing.T, log *readLog, peer *net.TCPConn, n int) {
 	t.Helper()
-	address := peer.LocalAddr().String()
+	waitReadOf(t, log, peer.LocalAddr().String(), n)
+}
+
+// waitReadOf waits until n bytes of the peer with an address have been read.
+func waitReadOf(t *testing.T, log *readLog, address string, n int) {
+	t.Helper()
 	for deadline := time.Now().Add(10 * time.Second); log.total(address) < n; time.Sleep(time.Millisecond) {
 		if time.Now().After(deadline) {
 			t.Fatalf("%d of %d bytes were read", log.total(address), n)
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -30,11 +30,10 @@
 var ErrClosedLocally = errors.New("connection closed by this side")
 
 const (
-	readBufferSize = 16 << 10
-	// maxConsecutiveReadBytes limits the reading of one connection per poller event; each read counts as one more
-	// byte. If the event also reports that the peer has closed the connection, nbio closes it when Conn.read
-	// returns, even if bytes are still unread. The limit therefore exceeds the largest message body, even one that
-	// arrives one byte per read.
+	readBufferSize = 16 << 10 // also a turn of a connection that does not send requests
+	// maxConsecutiveReadBytes limits the reading of one connection whose peer has ended, per poller event; each read counts as one more
+	// byte. nbio closes the connection when Conn.read returns, even if bytes are still unread. The limit therefore exceeds the largest
+	// message body, even one that arrives one byte per read.
 	maxConsecutiveReadBytes = 64 * readBufferSize
 	// requesterTurnBytes limits the reading of a connection that sends requests, a Replier's, so that those that send without end take
 	// turns with all others. The poller reports the connection again while bytes are left.
--- a/transport/turns_test.go
+++ b/transport/turns_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -83,6 +85,45 @@
 	}
 }
 
+// TestRespondersTakeTurns guards against an endpoint that answers without end and keeps all other connections from being read.
+func TestRespondersTakeTurns(t *testing.T) {
+	for _, greedyPeers := range []int{1, 5, 50} {
+		t.Run(fmt.Sprint(greedyPeers), func(t *testing.T) {
+			const much = 60 << 10
+			log := newReadLog()
+			driver, addr, resume := driverWithBlockedPoller(t, log.accept)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer listener.Close()
+			var greedy []*net.TCPConn
+			for range greedyPeers {
+				driver.Dial(listener.Addr().String(), 5*time.Second, newRecordingHandler(func(conn *Conn, b []byte) { log.add(conn.raw.LocalAddr().String(), len(b)) }))
+				conn, err := listener.Accept()
+				if err != nil {
+					t.Fatal(err)
+				}
+				t.Cleanup(func() { conn.Close() })
+				greedy = append(greedy, conn.(*net.TCPConn))
+				writeMuch(t, conn.(*net.TCPConn), much)
+			}
+			modest := dial(t, addr)
+			writeMuch(t, modest, 10)
+			time.Sleep(100 * time.Millisecond) // until it is accepted
+			resume()
+			waitRead(t, log, modest, 10)
+			for _, peer := range greedy {
+				waitReadOf(t, log, peer.RemoteAddr().String(), much)
+			}
+			before := slices.Index(log.order, modest.LocalAddr().String())
+			if before > greedyPeers {
+				t.Errorf("%d reads of %d connections came before the first read of another one; want one of each at most", before, greedyPeers)
+			}
+		})
+	}
+}
+
 // TestRestIsReadOfPeerThatEndsItsSending: whoever ends its sending after much gets all of it read.
 func TestRestIsReadOfPeerThatEndsItsSending(t *testing.T) {
 	const much = 60 << 10
