Soak: clients that flood, in six ways

In half of the seeds three clients flood the courier for 0.5 to 3 s: PINGs without end, malformed commands, much at once and gone, much at once and half-closed, replies left unread, commands sent in part. Floods are drawn from a source of their own, so the other faults of a seed stay as they were.

--- a/testbed/soak/actions.go
+++ b/testbed/soak/actions.go
@@ -13,6 +13,10 @@
 		return
 	}
 	r.addToTimeline("%s", a.name)
+	if a.isFlood() {
+		r.flood(ctx, a)
+		return
+	}
 	switch a.name {
 	case actionDrain:
 		r.drain(ctx)
--- a/testbed/soak/plan.go
+++ b/testbed/soak/plan.go
@@ -1,5 +1,5 @@
 // Package soak runs real couriers on loopback under faults drawn from a seed: failing system calls, state
-// folder errors, discovery faults, endpoint failures, reconnecting clients, floods of connections, repeated
+// folder errors, discovery faults, endpoint failures, reconnecting clients, clients that flood, floods of connections, repeated
 // signals and drains. It checks what clients and endpoints saw, and counts how often each fault took effect.
 // A fault that never took effect was not tested.
 package soak
--- a/testbed/soak/play.go
+++ b/testbed/soak/play.go
@@ -86,6 +86,7 @@
 	rng := rand.New(rand.NewSource(o.Seed))
 	r := &run{options: o, plan: drawPlan(rng, o.Length), holdUps: rand.New(rand.NewSource(-o.Seed)), faultCounts: map[string]int{}, matchCounts: map[string]int{}, dir: dir}
 	r.plan.actions = append(r.plan.actions, drawHoldUps(r.holdUps, r.plan.quietPeriod, o.Length)...)
+	r.plan.actions = append(r.plan.actions, drawFloods(rand.New(rand.NewSource(o.Seed^floodSeedMask)), r.plan.quietPeriod, o.Length)...)
 	if err := r.setUp(rng.Int63()); err != nil {
 		return nil, err
 	}
--- a/testbed/soak/soak_test.go
+++ b/testbed/soak/soak_test.go
@@ -100,3 +100,21 @@
 		t.Errorf("%d of %d seeds have hold-ups", heldUp, seeds)
 	}
 }
+
+// TestFloodsAreDrawn checks that floods are drawn in about half of the seeds, all kinds of them, within the run.
+func TestFloodsAreDrawn(t *testing.T) {
+	const length, seeds = 12 * time.Second, 300
+	drawn := map[string]int{}
+	floods := 0
+	for seed := range int64(seeds) {
+		for _, a := range drawFloods(rand.New(rand.NewSource(seed^floodSeedMask)), time.Second, length) {
+			floods++
+			if drawn[a.name]++; !a.isFlood() || a.at < time.Second || a.at > length || a.duration <= 0 {
+				t.Errorf("seed %d: %s from %v for %v", seed, a.name, a.at, a.duration)
+			}
+		}
+	}
+	if len(drawn) != len(floodKinds) || floods < seeds/3 || floods > 2*seeds/3 {
+		t.Errorf("%d of %d seeds have floods: %v", floods, seeds, drawn)
+	}
+}
