Tests: upgrades and exits beside floods; the loops and their bounds

Five upgrades and an exit, each beside 5 clients that never stop, that send 0.7 MB and go, and that send as much and half-close.

--- /dev/null
+++ b/cmd/pineport/flood_exit_test.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"syscall"
+	"testing"
+	"time"
+
+	"pineport/testbed/scripted"
+)
+
+// timeToKill is how long after SIGTERM the platform kills a process, at the earliest.
+const timeToKill = 3700 * time.Millisecond
+
+var floodsOfExits = []floodKind{{5, neverStops}, {5, sendsAndGoes}, {5, sendsAndReads}}
+
+// TestUpgradesBesideFlood guards against clients that flood and keep a process from giving its work away, or a successor from taking it.
+func TestUpgradesBesideFlood(t *testing.T) {
+	const upgrades = 5
+	for _, kind := range floodsOfExits {
+		t.Run(kind.String(), func(t *testing.T) {
+			world := newUpgradeWorld(t)
+			p := newSupervisor(t, world)
+			current := p.startProcess(p.binary)
+			p.requireReady(current)
+			load := p.startLoad(6)
+			stop := kind.start(p.listen)
+			for range upgrades {
+				time.Sleep(300 * time.Millisecond)
+				next := p.startProcess(p.binary)
+				p.requireReady(next)
+				p.terminate(current)
+				current = next
+			}
+			stop()
+			load.verify(world, upgrades)
+			p.terminate(current)
+			p.exits.Wait()
+		})
+	}
+}
+
+// TestExitBesideFlood guards against clients that flood and keep a process from ending before it is killed.
+func TestExitBesideFlood(t *testing.T) {
+	for _, kind := range floodsOfExits {
+		t.Run(kind.String(), func(t *testing.T) {
+			world, err := scripted.Open(1, func(string) scripted.Response { return scripted.Response{Status: 200} })
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer world.Close()
+			c := newCourier(t, world)
+			c.start()
+			defer kind.start(c.listen)()
+			time.Sleep(500 * time.Millisecond)
+			began := time.Now()
+			c.cmd.Process.Signal(syscall.SIGTERM)
+			ended := make(chan error, 1)
+			go func() { ended <- c.cmd.Wait() }()
+			select {
+			case err := <-ended:
+				t.Logf("ended %v after SIGTERM", time.Since(began).Round(time.Millisecond))
+				if err != nil {
+					t.Error(err)
+				}
+			case <-time.After(timeToKill):
+				t.Errorf("the process had not ended %v after SIGTERM", timeToKill)
+				c.cmd.Process.Kill()
+				<-ended
+			}
+		})
+	}
+}
--- a/cmd/pineport/flood_ratio_test.go
+++ b/cmd/pineport/flood_ratio_test.go
@@ -131,29 +131,37 @@
 	return true
 }
 
+// floodManner is how a flooding client sends.
+type floodManner string
+
+const (
+	neverStops    floodManner = "never stop"
+	sendsAndGoes  floodManner = "send much and go"         // without reading a reply, and come again
+	sendsAndReads floodManner = "send much and half-close" // read all replies, and come again
+)
+
 // floodKind is a number of clients that flood a courier with PINGs.
 type floodKind struct {
 	clients int
-	goes    bool // each client sends much at once and goes, and then comes again; otherwise it never stops
+	manner  floodManner
 }
 
-func (k floodKind) String() string {
-	if k.goes {
-		return fmt.Sprintf("%d that send much and go", k.clients)
-	}
-	return fmt.Sprintf("%d that never stop", k.clients)
-}
+func (k floodKind) String() string { return fmt.Sprintf("%d that %s", k.clients, k.manner) }
 
 // start starts the flood and returns the function that ends it.
 func (k floodKind) start(address string) (stop func()) {
 	stopping := make(chan struct{})
+	much := strings.Repeat(encodeCommand("PING"), 50_000)
 	var clients sync.WaitGroup
 	for range k.clients {
 		clients.Go(func() {
-			if k.goes {
-				sendAndGo(address, stopping, strings.Repeat(encodeCommand("PING"), 50_000))
-			} else {
+			switch k.manner {
+			case neverStops:
 				sendWithoutEnd(address, stopping, repeatText(encodeCommand("PING")))
+			case sendsAndGoes:
+				sendAndGo(address, stopping, much)
+			case sendsAndReads:
+				sendAndHalfClose(address, stopping, much)
 			}
 		})
 	}
@@ -163,7 +171,7 @@
 	}
 }
 
-var floodKinds = []floodKind{{clients: 1}, {clients: 5}, {clients: 50}, {clients: 5, goes: true}}
+var floodKinds = []floodKind{{1, neverStops}, {5, neverStops}, {50, neverStops}, {5, sendsAndGoes}, {5, sendsAndReads}}
 
 // measureRatios returns, for each of floodKinds, the ratios of waits beside the flood to those of the same courier when it is idle.
 func measureRatios(t *testing.T, program string) (ratios []waitRatios) {
--- a/cmd/pineport/flood_test.go
+++ b/cmd/pineport/flood_test.go
@@ -148,6 +148,28 @@
 	}
 }
 
+// sendAndHalfClose writes a text over one connection after another, ends the sending of each, and reads all replies.
+func sendAndHalfClose(address string, stopping <-chan struct{}, text string) {
+	for {
+		select {
+		case <-stopping:
+			return
+		case <-time.After(20 * time.Millisecond):
+		}
+		conn, err := net.DialTimeout("tcp", address, time.Second)
+		if err != nil {
+			continue
+		}
+		conn.SetDeadline(time.Now().Add(2 * time.Second))
+		go func() {
+			io.WriteString(conn, text)
+			conn.(*net.TCPConn).CloseWrite()
+		}()
+		io.Copy(io.Discard, conn)
+		conn.Close()
+	}
+}
+
 // repeatText returns a function that returns always the same text of about 16 kB.
 func repeatText(command string) func() string {
 	text := strings.Repeat(command, 16<<10/len(command)+1)
