--- a/transport/halfclose.go
+++ b/transport/halfclose.go
@@ -9,6 +9,8 @@
 
 	"github.com/lesismal/nbio"
 	"golang.org/x/sys/unix"
+
+	"pineport/clock"
 )
 
 // A peer may shut down its write side and still wait for replies, also to bytes that are still unread. nbio closes a connection as soon as it
@@ -164,7 +166,7 @@
 	c.stateLock.Lock()
 	defer c.stateLock.Unlock()
 	if c.repliesEndBy.IsZero() {
-		c.repliesEndBy = time.Now().Add(replySendTimeout)
+		c.repliesEndBy = clock.Instant().Add(replySendTimeout)
 	}
 }
 
--- a/transport/rest.go
+++ b/transport/rest.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"pineport/clock"
 )
 
 // This file reads what peers sent before they shut down their write side, and writes the replies that their sockets did not take at once.
@@ -103,7 +105,7 @@
 	r.mu.Lock()
 	entry := r.entries[conn]
 	r.mu.Unlock()
-	now := time.Now()
+	now := clock.Instant()
 	if now.Before(entry.retryAt) {
 		return false
 	}
@@ -170,7 +172,7 @@
 func (c *Conn) isReplyTimeOver() bool {
 	c.stateLock.Lock()
 	defer c.stateLock.Unlock()
-	return !c.repliesEndBy.IsZero() && time.Now().After(c.repliesEndBy)
+	return !c.repliesEndBy.IsZero() && clock.Instant().After(c.repliesEndBy)
 }
 
 // isLastReplySent reports whether no reply follows what has been sent.
