--- a/transport/halfclose.go
+++ b/transport/halfclose.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"io"
-	"net"
 	"reflect"
 	"time"
 
@@ -108,49 +107,6 @@
 	return c.restUnread
 }
 
-// writeReply writes to a half-closed connection. The caller holds writeLock. Bytes that the socket does not take at once are written by
-// restReader.
-func (c *Conn) writeReply(b []byte) error {
-	if !c.HalfClosed() {
-		return net.ErrClosed
-	}
-	if len(c.unsent)+len(b) > maxWriteBufferSize {
-		c.closeReplyDescriptor()
-		return errWriteBufferFull
-	}
-	c.queuedBytes.Add(int64(len(b)))
-	c.unsent = append(c.unsent, b...)
-	err := c.sendUnsent()
-	if err == nil && len(c.unsent) > 0 {
-		c.driver.rests.add(c)
-	}
-	return err
-}
-
-var errWriteBufferFull = errors.New("the peer leaves too many replies unread")
-
-// sendUnsent writes as many unsent bytes to a half-closed connection as the socket takes. The caller holds writeLock.
-func (c *Conn) sendUnsent() error {
-	c.stateLock.Lock()
-	defer c.stateLock.Unlock()
-	if !c.halfClosed {
-		return net.ErrClosed
-	}
-	if len(c.unsent) == 0 {
-		return nil
-	}
-	n, err := unix.Write(c.replyDescriptor, c.unsent)
-	if errors.Is(err, unix.EAGAIN) || errors.Is(err, unix.EINTR) {
-		return nil
-	}
-	if err != nil {
-		return err
-	}
-	c.writtenBytes.Add(int64(n))
-	c.trimUnsent()
-	return nil
-}
-
 // replySendTimeout is how long after the last reply the peer of a half-closed connection may take to read all of them.
 const replySendTimeout = 2 * time.Second
 
--- a/transport/rest.go
+++ b/transport/rest.go
@@ -77,7 +77,10 @@
 
 // closeAll closes all connections.
 func (r *restReader) closeAll() {
-	for _, conn := range r.next() {
+	r.mu.Lock()
+	conns := slices.Collect(maps.Keys(r.entries))
+	r.mu.Unlock()
+	for _, conn := range conns {
 		conn.Close()
 	}
 }
