--- a/cmd/pineport/client_memory_test.go
+++ b/cmd/pineport/client_memory_test.go
@@ -138,6 +138,18 @@
 	}
 }
 
+// halfCloseWithoutReading sends many commands, ends its sending and reads no reply.
+func halfCloseWithoutReading(conn net.Conn, stopping <-chan struct{}) {
+	conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+	conn.SetWriteDeadline(time.Now().Add(time.Second))
+	io.WriteString(conn, strings.Repeat(encodeCommand("a"), 5000))
+	conn.(*net.TCPConn).CloseWrite()
+	select {
+	case <-stopping:
+	case <-time.After(3 * time.Second):
+	}
+}
+
 // handInLarge hands in messages with large bodies and reads the replies.
 func handInLarge(conn net.Conn, stopping <-chan struct{}) {
 	in := bufio.NewReader(conn)
@@ -165,6 +177,7 @@
 		"slow":        {sendSlowly},
 		"many fields": {sendManyFields},
 		"unread":      {sendWithoutReading},
+		"half closed": {halfCloseWithoutReading},
 		"together":    {sendHalted, sendSlowly, sendManyFields, sendWithoutReading, handInLarge},
 	}
 	for name, crowds := range behaviours {
