--- a/testbed/soak/actions.go
+++ b/testbed/soak/actions.go
@@ -40,6 +40,8 @@
 		r.addToTimeline("%s ended", a.name)
 	case actionHoldUp:
 		r.holdUp(ctx, a)
+	case actionUpgrade:
+		r.upgrade(a)
 	case actionSignals:
 		r.signalSeries(ctx, a)
 	default:
--- a/testbed/soak/plan.go
+++ b/testbed/soak/plan.go
@@ -1,6 +1,6 @@
 // Package soak runs real couriers on loopback under faults drawn from a seed: failing system calls, state
 // folder errors, discovery faults, endpoint failures, reconnecting clients, clients that flood, floods of connections, repeated
-// signals and drains. It checks what clients and endpoints saw, and counts how often each fault took effect.
+// signals, upgrades and drains. It checks what clients and endpoints saw, and counts how often each fault took effect.
 // A fault that never took effect was not tested.
 package soak
 
@@ -37,6 +37,7 @@
 	actionHold            = "discovery new connections silent"
 	actionHang            = "half of the calls hang"
 	actionHoldUp          = "process held up"
+	actionUpgrade         = "upgrade"
 )
 
 // timedSignal is a signal and the time from the one before it.
--- a/testbed/soak/play.go
+++ b/testbed/soak/play.go
@@ -50,6 +50,7 @@
 	address  string
 	dir      string
 	log      *os.File
+	socket   *os.File // listening socket that all processes share; nil in runs without upgrades
 	clients  clients
 	hanging  atomic.Bool // half of the calls to endpoints hang
 	holdUps  *rand.Rand  // draws the hold-ups of the process
@@ -87,6 +88,7 @@
 	r := &run{options: o, plan: drawPlan(rng, o.Length), holdUps: rand.New(rand.NewSource(-o.Seed)), faultCounts: map[string]int{}, matchCounts: map[string]int{}, dir: dir}
 	r.plan.actions = append(r.plan.actions, drawHoldUps(r.holdUps, r.plan.quietPeriod, o.Length)...)
 	r.plan.actions = append(r.plan.actions, drawFloods(rand.New(rand.NewSource(o.Seed^floodSeedMask)), r.plan.quietPeriod, o.Length)...)
+	r.plan.actions = append(r.plan.actions, drawUpgrades(rand.New(rand.NewSource(o.Seed^upgradeSeedMask)), r.plan.quietPeriod, o.Length)...)
 	if err := r.setUp(rng.Int63()); err != nil {
 		return nil, err
 	}
--- a/testbed/soak/process.go
+++ b/testbed/soak/process.go
@@ -13,9 +13,7 @@
 
 // start starts the courier, and waits until it answers PING.
 func (r *run) start() error {
-	stateDir := filepath.Join(r.dir, "state")
-	env := append(os.Environ(), "RELAY_CONFIG="+filepath.Join(r.dir, "config.json"), "RELAY_STATE="+stateDir)
-	child, err := syscallfault.Start(r.options.Binary, env, r.log, tracedCalls, func(call *syscallfault.Call) syscallfault.Effect { return r.effectFor(call, stateDir) })
+	child, err := r.launch()
 	if err != nil {
 		return err
 	}
@@ -31,6 +29,17 @@
 	return nil
 }
 
+// launch starts a process of the courier.
+func (r *run) launch() (*syscallfault.Process, error) {
+	stateDir := filepath.Join(r.dir, "state")
+	env := append(os.Environ(), "RELAY_CONFIG="+filepath.Join(r.dir, "config.json"), "RELAY_STATE="+stateDir)
+	var files []*os.File
+	if r.socket != nil {
+		env, files = append(env, "RELAY_SOCKET_FD=3"), []*os.File{r.socket}
+	}
+	return syscallfault.StartWithFiles(r.options.Binary, env, files, r.log, tracedCalls, func(call *syscallfault.Call) syscallfault.Effect { return r.effectFor(call, stateDir) })
+}
+
 func respondsToPing(address string) bool {
 	conn, err := net.DialTimeout("tcp", address, time.Second)
 	if err != nil {
--- a/testbed/soak/setup.go
+++ b/testbed/soak/setup.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand"
+	"net"
 	"os"
 	"path/filepath"
 	"slices"
@@ -61,6 +62,11 @@
 	}
 	release()
 	r.address = address
+	if r.plan.has(actionUpgrade) {
+		if r.socket, err = listeningSocket(address); err != nil {
+			return err
+		}
+	}
 	if err := os.WriteFile(filepath.Join(r.dir, "config.json"), standIns.CourierConfiguration(fmt.Sprintf("soak-%d", r.options.Seed), address), 0o644); err != nil {
 		return err
 	}
@@ -68,6 +74,16 @@
 	return err
 }
 
+// listeningSocket returns a listening socket that processes can inherit.
+func listeningSocket(address string) (*os.File, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	defer listener.Close()
+	return listener.(*net.TCPListener).File()
+}
+
 // cannotConnect reports whether new connections to discovery fail or are silent. A fault of a call with notices would then take one of
 // the few that are open.
 func (r *run) cannotConnect() bool {
@@ -102,4 +118,7 @@
 	r.proxy.Close()
 	r.standIns.Close()
 	r.log.Close()
+	if r.socket != nil {
+		r.socket.Close()
+	}
 }
--- a/testbed/soak/soak_test.go
+++ b/testbed/soak/soak_test.go
@@ -118,3 +118,23 @@
 		t.Errorf("%d of %d seeds have floods: %v", floods, seeds, drawn)
 	}
 }
+
+// TestUpgradesAreDrawn checks that upgrades are drawn in about half of the seeds, within the run.
+func TestUpgradesAreDrawn(t *testing.T) {
+	const length, seeds = 12 * time.Second, 300
+	upgraded := 0
+	for seed := range int64(seeds) {
+		actions := drawUpgrades(rand.New(rand.NewSource(seed^upgradeSeedMask)), time.Second, length)
+		if len(actions) > 0 {
+			upgraded++
+		}
+		for _, a := range actions {
+			if a.at < time.Second || a.at > length {
+				t.Errorf("seed %d: upgrade at %v", seed, a.at)
+			}
+		}
+	}
+	if upgraded < seeds/3 || upgraded > 2*seeds/3 {
+		t.Errorf("%d of %d seeds have upgrades", upgraded, seeds)
+	}
+}
--- a/testbed/syscallfault/process.go
+++ b/testbed/syscallfault/process.go
@@ -33,6 +33,11 @@
 // Start starts a child process with an environment. It calls decide from one goroutine before each system
 // call in names; decide must not block. The kernel kills the child if this process exits.
 func Start(binary string, env []string, stderr *os.File, names []string, decide func(*Call) Effect) (*Process, error) {
+	return StartWithFiles(binary, env, nil, stderr, names, decide)
+}
+
+// StartWithFiles is like Start, and gives the child open files as descriptors 3 and following.
+func StartWithFiles(binary string, env []string, files []*os.File, stderr *os.File, names []string, decide func(*Call) Effect) (*Process, error) {
 	traced := map[uint64]string{}
 	for _, name := range names {
 		number, ok := syscallNumbers[name]
@@ -43,7 +48,10 @@
 	}
 	p := &Process{Done: make(chan struct{}), decide: decide, effectCounts: map[string]int{}}
 	started := make(chan error)
-	go p.run(binary, env, stderr, traced, started)
+	cmd := exec.Command(binary)
+	cmd.Env, cmd.ExtraFiles, cmd.Stderr, cmd.Stdout = env, files, stderr, stderr
+	cmd.SysProcAttr = &syscall.SysProcAttr{Ptrace: true}
+	go p.run(cmd, traced, started)
 	return p, <-started
 }
 
@@ -75,12 +83,9 @@
 }
 
 // run starts and traces the child. ptrace requires that one thread does both.
-func (p *Process) run(binary string, env []string, stderr *os.File, traced map[uint64]string, started chan<- error) {
+func (p *Process) run(cmd *exec.Cmd, traced map[uint64]string, started chan<- error) {
 	runtime.LockOSThread() // the thread ends with this goroutine
 	defer close(p.Done)
-	cmd := exec.Command(binary)
-	cmd.Env, cmd.Stderr, cmd.Stdout = env, stderr, stderr
-	cmd.SysProcAttr = &syscall.SysProcAttr{Ptrace: true}
 	if err := cmd.Start(); err != nil {
 		started <- err
 		return
