Soak: a run keeps its port reserved until it ends

Cause: the run reserved a port for its courier and gave it up at once. Until that courier listened, the port could go to any other socket, also to the courier of a run beside it. Then the own courier ended ("address already in use"), PING was answered by the other one, and the other run's endpoints got the messages.

Change: the reservation lasts until the run closes; the kernel gives a reserved port to no other socket. A courier that exits before it answers PING is a breach at once, and breaches of the run stand before those of messages, so that the first lines of a report name the cause.

TestAddressIsReservedForTheRun failed before: another socket could bind the address.

--- a/testbed/soak/play.go
+++ b/testbed/soak/play.go
@@ -48,12 +48,15 @@
 	standIns *scripted.World
 	proxy    *faultproxy.Proxy
 	address  string
-	dir      string
-	log      *os.File
-	socket   *os.File // listening socket that all processes share; nil in runs without upgrades
-	clients  clients
-	hanging  atomic.Bool // half of the calls to endpoints hang
-	holdUps  *rand.Rand  // draws the hold-ups of the process
+	// releaseAddress ends the reservation of address. It lasts for the whole run: courier processes of other runs must not get the port
+	// while none of this run listens.
+	releaseAddress func()
+	dir            string
+	log            *os.File
+	socket         *os.File // listening socket that all processes share; nil in runs without upgrades
+	clients        clients
+	hanging        atomic.Bool // half of the calls to endpoints hang
+	holdUps        *rand.Rand  // draws the hold-ups of the process
 
 	mu               sync.Mutex
 	child            *syscallfault.Process
--- a/testbed/soak/process.go
+++ b/testbed/soak/process.go
@@ -21,6 +21,10 @@
 	r.child, r.processStartedAt, r.stopRequested = child, time.Now(), false
 	r.mu.Unlock()
 	for deadline := time.Now().Add(readyTimeout); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		if hasExited(child) && !r.isStopRequested() {
+			r.reportBreach("the courier exited before it answered PING: %v", child.Status())
+			return nil
+		}
 		if respondsToPing(r.address) {
 			return nil
 		}
@@ -29,6 +33,12 @@
 	return nil
 }
 
+func (r *run) isStopRequested() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stopRequested
+}
+
 // launch starts a process of the courier.
 func (r *run) launch() (*syscallfault.Process, error) {
 	stateDir := filepath.Join(r.dir, "state")
--- a/testbed/soak/result.go
+++ b/testbed/soak/result.go
@@ -83,7 +83,7 @@
 	for name, n := range r.faultCounts {
 		res.FaultCounts[name] += n
 	}
-	res.Breaches = append(res.Breaches, r.breaches...)
+	res.Breaches = slices.Concat(r.breaches, res.Breaches) // what ended a process first, then the requests that suffered from it
 	for _, a := range r.plan.actions {
 		if res.FaultCounts[a.name] == 0 && !slices.Contains(res.FaultsWithoutEffect, a.name) {
 			res.FaultsWithoutEffect = append(res.FaultsWithoutEffect, a.name)
--- a/testbed/soak/setup.go
+++ b/testbed/soak/setup.go
@@ -56,18 +56,15 @@
 		return err
 	}
 	standIns.Discovery = r.proxy.Address
-	address, release, err := port.Reserve()
-	if err != nil {
+	if r.address, r.releaseAddress, err = port.Reserve(); err != nil {
 		return err
 	}
-	release()
-	r.address = address
 	if r.plan.has(actionUpgrade) {
-		if r.socket, err = listeningSocket(address); err != nil {
+		if r.socket, err = listeningSocket(r.address); err != nil {
 			return err
 		}
 	}
-	if err := os.WriteFile(filepath.Join(r.dir, "config.json"), standIns.CourierConfiguration(fmt.Sprintf("soak-%d", r.options.Seed), address), 0o644); err != nil {
+	if err := os.WriteFile(filepath.Join(r.dir, "config.json"), standIns.CourierConfiguration(fmt.Sprintf("soak-%d", r.options.Seed), r.address), 0o644); err != nil {
 		return err
 	}
 	r.log, err = os.Create(filepath.Join(r.dir, "log"))
@@ -121,4 +118,5 @@
 	if r.socket != nil {
 		r.socket.Close()
 	}
+	r.releaseAddress()
 }
--- a/testbed/soak/soak_test.go
+++ b/testbed/soak/soak_test.go
@@ -1,8 +1,11 @@
 package soak
 
 import (
+	"errors"
 	"math/rand"
+	"net/netip"
 	"reflect"
+	"syscall"
 	"testing"
 	"time"
 
@@ -138,3 +141,23 @@
 		t.Errorf("%d of %d seeds have upgrades", upgraded, seeds)
 	}
 }
+
+// TestAddressIsReservedForTheRun guards against a run whose courier loses its port before it listens: its clients were served by the courier
+// of another run, and all their messages counted as lost.
+func TestAddressIsReservedForTheRun(t *testing.T) {
+	r := &run{dir: t.TempDir()}
+	if err := r.setUp(1); err != nil {
+		t.Fatal(err)
+	}
+	defer r.close()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer syscall.Close(fd)
+	port := int(netip.MustParseAddrPort(r.address).Port())
+	// As the kernel does for a socket that asks for any free port, without SO_REUSEADDR.
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}, Port: port}); !errors.Is(err, syscall.EADDRINUSE) {
+		t.Errorf("another socket could bind the run's address %s: %v", r.address, err)
+	}
+}
