Spool: compaction ends under any limit, also one lowered below what is held

Cause: compact went on while more than three quarters of the limit were used, and it can free garbage only. Append keeps live messages under half of the limit of their time, but Resize and Open apply a lower one to what is held: the same messages were rewritten for ever.

Ruled out: a write that fails; a reload that blocks (it was logged, the next write hung). Evidence: an operation on the spool starts any number of segments (TestLowerLimitEndsAndKeepsMessages counts them).

Change: a compaction takes each segment once at most, and makes room only while a sixteenth of the folder is garbage, so that an update beside a full folder does not rewrite all of it. New messages get -BUSY until what is held fits; the log says "more is held than the disk limit allows", at a reload and at a start. The reserve for a message's growth, 1024 in three places, has a name.

Not mended: while more is held than the limit, the folder stays over it.

--- a/server/recovery.go
+++ b/server/recovery.go
@@ -85,6 +85,7 @@
 	}
 	if len(unfinished) > 0 {
 		s.log.Info("recovered after restart", "messages", len(s.messages), "notices", len(unfinished)-len(s.messages))
+		s.logSpoolExcess()
 	}
 }
 
--- a/server/reload.go
+++ b/server/reload.go
@@ -39,6 +39,7 @@
 	s.endpointConns.SetLimits(s.endpointConnLimits())
 	if old.DiskMB != merged.DiskMB {
 		s.spool.Resize(SpoolLimit(merged))
+		s.logSpoolExcess()
 	}
 	if !old.SameDispatch(merged) {
 		s.events = append(s.events, dispatch.Reconfigured{Config: s.dispatchConfig()})
@@ -54,6 +55,13 @@
 	}
 }
 
+// logSpoolExcess tells why new messages are refused, if more is held than the disk limit allows.
+func (s *Server) logSpoolExcess() {
+	if excess := s.spool.Excess(); excess > 0 {
+		s.log.Warn("more is held than the disk limit allows", "disk_mb", s.deployment.DiskMB, "excess_bytes", excess, "messages", len(s.messages))
+	}
+}
+
 // countUnfinished returns the number of unfinished messages of a class.
 func (s *Server) countUnfinished(class string) (n int) {
 	for _, message := range s.messages {
--- a/spool/segment.go
+++ b/spool/segment.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"hash/crc32"
 	"io"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
@@ -196,36 +197,61 @@
 	return total
 }
 
-// compact rewrites the live messages of the oldest segment at the end of the newest and removes the oldest. It repeats
-// this while little room is left (more than 3/4 of the limit is used), or while there is more garbage than live data (at
-// least 4 segments, whose size is at least 3 times the live bytes).
+// compact moves the live messages of the oldest segments to the newest and removes the oldest, while that is needed. It takes each
+// segment once at the most, so that it ends under any limit.
+//
+// Failure: a limit had been lowered below what was held. Compaction went on while more than three quarters of the limit were used, rewrote
+// live messages for ever, and the courier hung.
 func (s *Spool) compact() error {
-	for len(s.segments) > 1 {
-		size := s.Size()
-		if size <= s.limit*3/4 && (len(s.segments) < 4 || size < 3*s.liveBytes) {
-			return nil
-		}
-		oldest := s.segments[0]
-		ids := make([]string, 0, len(oldest.liveSizes))
-		for id := range oldest.liveSizes {
-			ids = append(ids, id)
-		}
-		slices.Sort(ids)
-		for _, id := range ids {
-			entry := s.entries[id]
-			payload := s.encodeMessage(entry.message)
-			if err := s.appendRecord(payload); err != nil {
-				return err
-			}
-			s.index(entry.message, s.segments[len(s.segments)-1], int64(len(payload)+recordHeaderSize))
-		}
-		if err := s.rewriteRemembered(oldest); err != nil {
+	newest := s.segments[len(s.segments)-1].number
+	for s.segments[0].number < newest && s.needsCompaction() {
+		if err := s.compactOldest(); err != nil {
 			return err
 		}
-		if err := s.remove(s.segmentPath(oldest.number)); err != nil {
+	}
+	return nil
+}
+
+// needsCompaction reports whether little room is left (more than 3/4 of the limit is used) and enough of it is garbage, or whether there
+// is more garbage than live data (at least 4 segments, whose size is at least 3 times the live bytes).
+func (s *Spool) needsCompaction() bool {
+	size := s.Size()
+	if size > s.limit*3/4 && s.garbageBytes() >= size/garbageShare {
+		return true
+	}
+	return len(s.segments) >= 4 && size >= 3*s.liveBytes
+}
+
+// garbageShare is the share of the directory, as a divisor, that must be garbage before compaction makes room. So it writes garbageShare times
+// what it frees at the most, also where live messages alone fill the limit.
+const garbageShare = 16
+
+// garbageBytes returns how many bytes of all records a complete compaction would drop.
+func (s *Spool) garbageBytes() int64 {
+	garbage := int64(len(s.entries))*growthReserve - s.liveBytes
+	for _, seg := range s.segments {
+		garbage += max(0, seg.size-int64(len(magic)))
+	}
+	return garbage
+}
+
+// compactOldest moves the live messages and the remembered ids of the oldest segment to the newest, and removes the oldest.
+func (s *Spool) compactOldest() error {
+	oldest := s.segments[0]
+	for _, id := range slices.Sorted(maps.Keys(oldest.liveSizes)) {
+		entry := s.entries[id]
+		payload := s.encodeMessage(entry.message)
+		if err := s.appendRecord(payload); err != nil {
 			return err
 		}
-		s.segments = s.segments[1:]
+		s.index(entry.message, s.segments[len(s.segments)-1], int64(len(payload)+recordHeaderSize))
+	}
+	if err := s.rewriteRemembered(oldest); err != nil {
+		return err
+	}
+	if err := s.remove(s.segmentPath(oldest.number)); err != nil {
+		return err
 	}
+	s.segments = s.segments[1:]
 	return nil
 }
--- a/spool/spool.go
+++ b/spool/spool.go
@@ -48,6 +48,9 @@
 	// for one more segment, which should be a small part of the directory.
 	segmentsPerDir = 16
 	maxRecordSize  = 1 << 20
+	// growthReserve is reserved for each message, in bytes: attempts and the end enlarge the message record that compaction writes later,
+	// which otherwise could need more than is left.
+	growthReserve = 1024
 )
 
 const (
@@ -61,10 +64,9 @@
 
 // indexEntry locates the newest message record of a live message.
 type indexEntry struct {
-	message       *Message
-	recordSize    int64 // of its newest message record
-	segment       *segment
-	reservedBytes int64 // reserved for the growth of the record by attempts and by the end
+	message    *Message
+	recordSize int64 // of its newest message record
+	segment    *segment
 }
 
 // Spool is an open spool directory. It is not safe for concurrent use.
@@ -121,19 +123,17 @@
 func (s *Spool) index(message *Message, seg *segment, size int64) {
 	s.unindex(message.ID)
 	s.Forget(message.ID)
-	// Attempts and the end enlarge the message record that compaction writes later. Space is reserved for this
-	// growth, because otherwise compaction could need more than is left.
-	entry := &indexEntry{message: message, recordSize: size, segment: seg, reservedBytes: 1024}
+	entry := &indexEntry{message: message, recordSize: size, segment: seg}
 	s.entries[message.ID] = entry
 	seg.liveSizes[message.ID] = size
-	s.liveBytes += size + entry.reservedBytes
+	s.liveBytes += size + growthReserve
 }
 
 // unindex removes a message from the index; its records become garbage.
 func (s *Spool) unindex(id string) {
 	if entry := s.entries[id]; entry != nil {
 		delete(entry.segment.liveSizes, id)
-		s.liveBytes -= entry.recordSize + entry.reservedBytes
+		s.liveBytes -= entry.recordSize + growthReserve
 		delete(s.entries, id)
 	}
 }
@@ -148,9 +148,8 @@
 	}
 	message.Number = s.lastNumber + 1
 	payload := s.encodeMessage(message)
-	// Live messages may use half of the limit. The other half is for garbage not yet removed, and for compaction.
 	size := int64(len(payload) + recordHeaderSize)
-	if s.liveBytes+size+1024 > s.limit/2 || size > 2*s.segmentSize {
+	if s.liveBytes+size+growthReserve > s.liveLimit() || size > 2*s.segmentSize {
 		return ErrFull
 	}
 	if !s.hasRoom(size) { // an earlier compaction has failed
@@ -270,6 +269,12 @@
 // Close flushes the backlog and closes the current segment file, even if the flush fails.
 func (s *Spool) Close() error { return errors.Join(s.Flush(), s.file.Close()) }
 
+// liveLimit is how many bytes live messages may use: half of the limit. The other half is for garbage not yet removed, and for compaction.
+func (s *Spool) liveLimit() int64 { return s.limit / 2 }
+
+// Excess returns how many bytes the live messages use beyond what the limit allows for them, after the limit was lowered; 0 if they fit.
+func (s *Spool) Excess() int64 { return max(0, s.liveBytes-s.liveLimit()) }
+
 // Resize sets the maximum size of the directory in bytes. A lower limit drops no stored message: Append returns
 // ErrFull until the live messages fit into the new limit.
 func (s *Spool) Resize(limit int64) {
