Answers to calls are read until the process ends, not until its clients are closed

What callers saw: in a planned restart, answers that came in its last 0.4 s were not read.

Cause: Driver.StopReading, with which an exit makes sure that it reads no further request, stopped the reading of all connections, also of those to endpoints and to discovery, while calls go on for 0.4 s more.

Ruled out: calls that had not begun (the exit starts no at-most-once call that may outlast it); answers after the end of the process.

Change: StopReading applies to accepted connections.

--- a/transport/read.go
+++ b/transport/read.go
@@ -52,7 +52,7 @@
 		c.closeOnPoller(raw, ErrClosedLocally)
 		return 0, true
 	}
-	if c.driver.stoppedReading.Load() && !c.hasPartialRequest() {
+	if c.isReadingStopped() {
 		c.handlerLock.Unlock()
 		return 0, true
 	}
@@ -75,6 +75,12 @@
 	return max(n, 0), true
 }
 
+// isReadingStopped reports whether StopReading applies to this connection.
+func (c *Conn) isReadingStopped() bool {
+	isAccepted := c.cancelDial == nil
+	return isAccepted && c.driver.stoppedReading.Load() && !c.hasPartialRequest()
+}
+
 func (c *Conn) hasPartialRequest() bool {
 	reader, ok := c.handler.(PartialReader)
 	return ok && reader.HasPartialRequest()
--- a/transport/rest.go
+++ b/transport/rest.go
@@ -188,7 +188,7 @@
 // readRest reads once from a half-closed connection and passes the bytes to the handler.
 func (c *Conn) readRest(buffer []byte) turnResult {
 	c.handlerLock.Lock()
-	if c.driver.stoppedReading.Load() && !c.hasPartialRequest() {
+	if c.isReadingStopped() {
 		c.handlerLock.Unlock()
 		return turnPaused
 	}
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -150,9 +150,9 @@
 	HasPartialRequest() bool
 }
 
-// StopReading stops reading from all connections, except from those of a PartialReader until the rest of its request has been
+// StopReading stops reading from accepted connections, except from those of a PartialReader until the rest of its request has been
 // read. A read already in progress completes: once IsHandlerIdle returns true, and no request is partly read, nothing more is read from
-// that connection.
+// that connection. Dialed connections are still read, since calls in flight are answered until the process ends.
 func (d *Driver) StopReading() { d.stoppedReading.Store(true) }
 
 // Close closes the listener and all connections. Connections that are still being dialed are not added to nbio any
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -52,6 +52,13 @@
 	close(h.closed)
 }
 
+// read returns what has been read.
+func (h *recordingHandler) read() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.data.String()
+}
+
 func (h *recordingHandler) waitClosed(t *testing.T) string {
 	t.Helper()
 	select {
@@ -202,3 +209,42 @@
 	}
 	h.waitClosed(t)
 }
+
+// TestStopReadingSparesDialedConnections guards against answers that an exit does not read although it waits for them: only connections
+// that were accepted are read no more.
+func TestStopReadingSparesDialedConnections(t *testing.T) {
+	accepted := make(chan *recordingHandler, 1)
+	driver, addr := open(t, func() Handler {
+		h := newRecordingHandler(nil)
+		accepted <- h
+		return h
+	})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	dialed := newRecordingHandler(nil)
+	driver.Dial(listener.Addr().String(), time.Second, dialed)
+	server, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	client, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	served := <-accepted
+	driver.StopReading()
+	io.WriteString(client, "request")
+	io.WriteString(server, "answer")
+	server.Close()
+	dialed.waitClosed(t)
+	if got := dialed.read(); got != "answer" {
+		t.Errorf("the dialed connection read %q", got)
+	}
+	if got := served.read(); got != "" {
+		t.Errorf("the accepted connection read %q", got)
+	}
+}
