A process that goes on after its successor crashed does not wait a second for its poller

What callers saw: after a crashed upgrade nobody answered for 1.01 s (1.005 to 1.012 s in 3 of 3 crashes, separate processes). Notices came up to that much late.

Cause: once StopAccepting has closed the listener, the goroutine that accepts connections must not retry, and it blocked for ever. Driver.Close waits for that goroutine, up to its limit of 1 s.

Ruled out: the lock of the state folder, reading it again, listening again: together they are within the 20 ms that are left.

Change: the goroutine waits until Close begins. The limit of Close has a name.

Failed before: TestCloseAfterStopAcceptingEndsAtOnce (1.0 s in both cases), TestServiceAfterCrashedUpgrade. Package transport with the race detector and the tests of upgrades and crashes in cmd/pineport pass once.

--- a/cmd/pineport/flood_exit_test.go
+++ b/cmd/pineport/flood_exit_test.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"fmt"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -70,3 +72,40 @@
 		})
 	}
 }
+
+// TestExitBesideEndlessAnswers guards against an exit that takes answers for unanswered requests: endpoints that answer without end could keep the
+// event queue filled, and the exit rejected what clients sent as if it were behind.
+func TestExitBesideEndlessAnswers(t *testing.T) {
+	const calls = 11
+	world, err := scripted.Open(1, func(id string) scripted.Response {
+		return scripted.Response{Status: 200, Endless: strings.HasPrefix(id, "endless")}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer world.Close()
+	c := newCourier(t, world)
+	c.start()
+	for i := range calls {
+		c.send(encodeEnqueue(fmt.Sprint("endless-", i), "update", 20_000))
+	}
+	time.Sleep(500 * time.Millisecond)
+	began := time.Now()
+	c.cmd.Process.Signal(syscall.SIGTERM)
+	ended := make(chan error, 1)
+	go func() { ended <- c.cmd.Wait() }()
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(timeToKill):
+		t.Errorf("the process had not ended %v after SIGTERM", timeToKill)
+		c.cmd.Process.Kill()
+		<-ended
+	}
+	t.Logf("ended %v after SIGTERM", time.Since(began).Round(time.Millisecond))
+	if strings.Contains(c.logText(), "rejecting open requests") {
+		t.Error("the exit rejected requests, though each had its reply")
+	}
+}
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -41,6 +41,9 @@
 	maxWriteBufferSize = 1 << 20 // more than the largest request, which holds five bodies of maximum size
 )
 
+// closeTimeout is how long Close waits for the goroutines of the poller.
+const closeTimeout = time.Second
+
 // Driver owns the nbio poller and all connections that it serves.
 type Driver struct {
 	engine           *nbio.Engine
@@ -54,8 +57,9 @@
 	// barrier. nbio's connection table guarantees no ordering, so code that gets a connection from that table loads
 	// this counter first, and thereby sees all writes made before the increment.
 	registeredConns atomic.Int64
-	closeLock       sync.RWMutex // read-locked while a connection is added to nbio
-	closed          bool         // no more connections may be added to nbio
+	closeLock       sync.RWMutex  // read-locked while a connection is added to nbio
+	closed          bool          // no more connections may be added to nbio
+	closing         chan struct{} // closed as Close begins
 }
 
 // connOf returns the Conn that belongs to an nbio connection.
@@ -99,7 +103,7 @@
 	openLock.Lock()
 	defer openLock.Unlock()
 	nbio.MaxOpenFiles = sockets + 64 // nbio's connection table is indexed by descriptor number, including those of other files
-	driver := &Driver{log: log}
+	driver := &Driver{log: log, closing: make(chan struct{})}
 	latestDriver.Store(driver)
 	listen := func(network, addr string) (l net.Listener, err error) {
 		if l = inherited; l == nil {
@@ -137,7 +141,7 @@
 	// Without this pause nbio would retry accept in a busy loop while no descriptor is available.
 	driver.engine.OnAcceptError(func(error) {
 		if time.Sleep(20 * time.Millisecond); driver.stoppedAccepting.Load() {
-			select {} // otherwise nbio would log accept errors forever; Close returns after its timeout in any case
+			<-driver.closing // otherwise nbio would log accept errors until Close
 		}
 	})
 	return driver, driver.engine.Start()
@@ -165,8 +169,9 @@
 	if alreadyClosed {
 		return
 	}
+	close(d.closing)
 	d.rests.closeAll()
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
 	_ = d.engine.Shutdown(ctx) // connections still open after the timeout end with the process
 }
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -248,3 +248,23 @@
 		t.Errorf("the accepted connection read %q", got)
 	}
 }
+
+// TestCloseAfterStopAcceptingEndsAtOnce guards against a process that serves nobody for a second after its successor has crashed: the
+// goroutine that accepts connections never ended after StopAccepting, and Close waited for it until its limit.
+func TestCloseAfterStopAcceptingEndsAtOnce(t *testing.T) {
+	for _, acceptingTime := range []time.Duration{0, 100 * time.Millisecond} {
+		driver, addr := open(t, func() Handler { return newRecordingHandler(nil) })
+		client, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer client.Close()
+		driver.StopAccepting()
+		time.Sleep(acceptingTime)
+		began := time.Now()
+		driver.Close()
+		if took := time.Since(began); took >= closeTimeout/2 {
+			t.Errorf("closed %v after StopAccepting, Close took %v", acceptingTime, took)
+		}
+	}
+}
