Messages share a call only as far as they fit the 64 KiB of a body

An endpoint that refuses such a body with 413 gets the same call again, and all of its messages are given up, though each alone would have been delivered.

Cause: calls were filled by the number of messages alone.

Change: the dispatcher knows what each message takes in a shared call and fills a call up to the size of a body; the server groups the attempts of a step by the same rule. A message that does not fit goes with the next call, smaller ones behind it may still join.

--- a/dispatch/calls.go
+++ b/dispatch/calls.go
@@ -25,6 +25,7 @@
 	endpoint     *endpoint
 	attempts     []*attempt
 	openAttempts int
+	sharedSize   int    // bytes that the messages of its attempts take
 	sent         bool   // at least one of its attempts was sent, or may be sent again
 	idleBucket   int    // of its connection when the call started; see idleBucketOf
 	previousCall Micros // when the previous call to the group started
@@ -55,11 +56,18 @@
 	message.inFlight++
 	call.attempts = append(call.attempts, added)
 	call.openAttempts++
+	call.sharedSize += message.sharedSize
 	group.inFlight = append(group.inFlight, added)
 	d.inFlight = append(d.inFlight, added)
 	return added
 }
 
+// hasRoom reports whether a call that has not been sent can carry another message.
+func (d *Dispatcher) hasRoom(call *call, message *message) bool {
+	fits := d.config.MaxSharedSize == 0 || call.sharedSize+message.sharedSize <= d.config.MaxSharedSize
+	return fits && call.openAttempts < call.endpoint.destination.endpointType.MaxPerCall
+}
+
 // isCanceled reports whether all unfinished attempts of a call were canceled.
 func (c *call) isCanceled() bool {
 	return !slices.ContainsFunc(c.attempts, func(attempt *attempt) bool { return !attempt.finished && !attempt.canceled })
--- a/dispatch/ordering.go
+++ b/dispatch/ordering.go
@@ -94,14 +94,14 @@
 	return false
 }
 
-// fillCall adds further queued messages to a call, up to the limit of its endpoint type.
+// fillCall adds further queued messages to a call, as long as it has room for them.
 func (d *Dispatcher) fillCall(call *call, destination *destination) {
 	for _, message := range slices.Clone(destination.queue) {
 		if call.openAttempts >= destination.endpointType.MaxPerCall {
 			return
 		}
 		closed := call.endpoint.group.breakers[message.classID].state == breakerClosed
-		if d.mayReceive(message, call.endpoint) && closed {
+		if closed && d.hasRoom(call, message) && d.mayReceive(message, call.endpoint) {
 			d.send(message, call, false)
 		}
 	}
--- a/dispatch/shadow.go
+++ b/dispatch/shadow.go
@@ -221,16 +221,16 @@
 		s.count(message.id, SentLater)
 	}
 	d.dequeue(message)
-	sent := d.addAttempt(message, d.sharedCall(endpoint))
+	sent := d.addAttempt(message, d.sharedCall(endpoint, message))
 	if breaker := &endpoint.group.breakers[message.classID]; breaker.state == breakerHalfOpen && breaker.trial == nil {
 		breaker.trial = sent
 	}
 }
 
-// sharedCall returns the call of this instant to an endpoint that has room for another message, or starts one.
-func (d *Dispatcher) sharedCall(endpoint *endpoint) *call {
+// sharedCall returns the call of this instant to an endpoint that has room for a message, or starts one.
+func (d *Dispatcher) sharedCall(endpoint *endpoint, message *message) *call {
 	for _, attempt := range slices.Backward(d.inFlight) {
-		if attempt.endpoint == endpoint && attempt.sentAt == d.now && attempt.call.openAttempts < endpoint.destination.endpointType.MaxPerCall {
+		if attempt.endpoint == endpoint && attempt.sentAt == d.now && d.hasRoom(attempt.call, message) {
 			return attempt.call
 		}
 	}
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -177,6 +177,7 @@
 	class          *Class
 	objectiveAt    Micros // end of the latency objective
 	deadline       Micros
+	sharedSize     int     // bytes that it takes in a call with others
 	priority       float64 // weight, reduced if its tenant was over quota
 	sample         float64 // uniform in [0, 1): selects messages that are sent at once; see Dispatcher.readyAt
 	valueLoss      float64 // loss of value if the answer comes one second later than expected
@@ -204,6 +205,7 @@
 		class:       class,
 		objectiveAt: min(event.Deadline-class.TimeToLive+class.Objective, event.Deadline),
 		deadline:    event.Deadline,
+		sharedSize:  event.SharedSize,
 		priority:    class.Priority,
 		sample:      sample,
 	}
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -92,6 +92,7 @@
 	Slots                 int    // maximum number of calls in flight
 	QueueLimit            int    // the number of unfinished messages is kept below this; 0 for no limit
 	MaxAttempts           int    // maximum number of attempts per message
+	MaxSharedSize         int    // maximum number of bytes of the messages that share a call; 0 for no limit
 	MayCancel             bool   // whether overdue attempts may be canceled
 	MaySendRetryAfter     bool   // whether a rejection may carry a Retry-After
 	MaxRetryAfter         Micros // longest Retry-After of a rejection
@@ -169,6 +170,7 @@
 		OrderingKey OrderingKey
 		Deadline    Micros
 		Resubmitted bool // submitted again by its client after a rejection
+		SharedSize  int  // bytes that it takes in a call with others; 0 if not known
 	}
 	// MessageRecovered hands over a message that was accepted before a restart and has no final answer yet.
 	MessageRecovered struct {
--- a/protocol/calls.go
+++ b/protocol/calls.go
@@ -19,6 +19,17 @@
 	return fmt.Appendf(dst, "POST %s HTTP/1.1\r\nHost: %s\r\n%sContent-Length: %d\r\n\r\n", path, host, headers, size)
 }
 
+// SharedSize returns how many bytes a message takes in the body of a delivery request for several messages.
+func SharedSize(message Message) int {
+	return len(appendItemHead(nil, message)) + len(message.Body) + len(itemEnd)
+}
+
+const itemEnd = "\r\n" // follows the body of each message in a request for several
+
+func appendItemHead(dst []byte, message Message) []byte {
+	return fmt.Appendf(dst, "%s %s %d\r\n", message.ID, cmp.Or(message.IdempotencyKey, "-"), len(message.Body))
+}
+
 // EncodeDelivery encodes a delivery request for one or more messages. budget is the time for which the courier will wait for the
 // response, in milliseconds.
 func EncodeDelivery(host string, budget int64, items []Message) []byte {
@@ -31,8 +42,8 @@
 	}
 	var body []byte
 	for _, it := range items {
-		body = fmt.Appendf(body, "%s %s %d\r\n", it.ID, cmp.Or(it.IdempotencyKey, "-"), len(it.Body))
-		body = append(append(body, it.Body...), "\r\n"...)
+		body = appendItemHead(body, it)
+		body = append(append(body, it.Body...), itemEnd...)
 	}
 	return append(appendPost(nil, "/hook/batch", host, fmt.Sprintf("X-Budget-Ms: %d\r\n", budget), len(body)), body...)
 }
--- a/server/calls.go
+++ b/server/calls.go
@@ -18,6 +18,7 @@
 	endpoint    dispatch.EndpointID
 	entry       protocol.Endpoint
 	attempts    []*attempt
+	sharedSize  int // bytes that the messages of its attempts take, where calls may carry several
 	exchange    *endpointconn.Exchange
 	waitUntil   dispatch.Micros // when the call times out
 	rechecked   bool            // its timeout was extended once because of unread bytes
@@ -40,7 +41,7 @@
 }
 
 // addToCall adds an attempt to a call. Attempts of one step to the same endpoint share a call, up to the
-// maximum number per call of the endpoint's type.
+// maximum number per call of the endpoint's type and to the size of a body. The dispatcher counts calls in the same way.
 func (s *Server) addToCall(calls []*call, a dispatch.Send) []*call {
 	message := s.messages[a.Message]
 	if message == nil || message.ended {
@@ -51,9 +52,13 @@
 	if kind, ok := s.endpointTypeOf(entry); ok {
 		perCall = kind.MaxPerCall
 	}
+	size := 0
+	if perCall > 1 {
+		size = protocol.SharedSize(deliveryOf(message.stored))
+	}
 	var target *call
 	for _, candidate := range calls {
-		if candidate.endpoint == a.Endpoint && len(candidate.attempts) < perCall {
+		if candidate.endpoint == a.Endpoint && len(candidate.attempts) < perCall && candidate.sharedSize+size <= protocol.MaxBody {
 			target = candidate
 		}
 	}
@@ -66,6 +71,7 @@
 	message.inFlight++
 	s.inFlight = append(s.inFlight, attempt)
 	target.attempts = append(target.attempts, attempt)
+	target.sharedSize += size
 	return calls
 }
 
@@ -134,7 +140,7 @@
 				return endpointconn.ErrNotStored // not sent: after a restart, the process would not know of the attempt
 			}
 		}
-		items = append(items, protocol.Message{ID: attempt.message.stored.ID, IdempotencyKey: attempt.message.stored.IdempotencyKey, Body: attempt.message.stored.Body})
+		items = append(items, deliveryOf(attempt.message.stored))
 	}
 	if len(items) == 0 {
 		return errNothingToSend
--- a/server/fleet.go
+++ b/server/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"pineport/dispatch"
 	"pineport/handoff"
+	"pineport/protocol"
 )
 
 // SetFleetSize sets the fleet size used by the dispatcher from the next step on. It does not block,
@@ -21,6 +22,7 @@
 	cfg := s.deployment.Dispatch
 	cfg.Couriers = max(cfg.Couriers, int(s.appliedFleetSize))
 	cfg.GrantedUntil = s.grantedUntil
+	cfg.MaxSharedSize = protocol.MaxBody
 	return cfg
 }
 
--- a/server/message.go
+++ b/server/message.go
@@ -77,7 +77,13 @@
 	return dispatch.MessageAccepted{Message: dispatch.MessageID(stored.ID), Destination: dispatch.DestinationID(stored.Destination),
 		Class:  dispatch.ClassID(slices.Index(s.deployment.Classes, stored.Class)),
 		Tenant: dispatch.TenantID(max(0, slices.Index(s.deployment.Tenants, stored.Tenant))), OrderingKey: dispatch.OrderingKey(stored.OrderingKey),
-		Deadline: dispatch.Micros(stored.Deadline), Resubmitted: stored.Resubmitted}
+		Deadline: dispatch.Micros(stored.Deadline), Resubmitted: stored.Resubmitted,
+		SharedSize: protocol.SharedSize(deliveryOf(stored))}
+}
+
+// deliveryOf returns what endpoints get of a message.
+func deliveryOf(stored *spool.Message) protocol.Message {
+	return protocol.Message{ID: stored.ID, IdempotencyKey: stored.IdempotencyKey, Body: stored.Body}
 }
 
 // Values in the spool for how an undelivered message ended.
--- a/testbed/scripted/scripted.go
+++ b/testbed/scripted/scripted.go
@@ -27,10 +27,14 @@
 	Endless   bool          // interim responses without end, and no final one
 }
 
+// maxBody is how many bytes the body of a call may have.
+const maxBody = 64 << 10
+
 // Violations counts calls that a correct courier never makes.
 type Violations struct {
 	EarlyCalls       int // calls to any endpoint during a wait that was requested more than 100 ms before the call
 	OverlappingCalls int // calls for an ordering key while a call for another message of the key is in flight
+	OversizedCalls   int // calls whose body is larger than a body may be
 	OutOfOrder       int // calls for a message of an ordering key after a call for a later message of the key
 }
 
@@ -377,6 +381,11 @@
 
 func (w *World) batch(rw http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
+	if len(body) > maxBody {
+		w.mu.Lock()
+		w.violations.OversizedCalls++
+		w.mu.Unlock()
+	}
 	var ids []string
 	for len(body) > 0 {
 		line, rest, _ := bytes.Cut(body, []byte("\r\n"))
