Spool: above its limit, one write moves one segment, not all that is held

Change: while more is live than the limit allows, each write moves one segment. Nothing waits for room then, as new messages are refused anyway. Below that, compaction is as it was.

Failed before: TestUpdateAboveLimitMovesOneSegment, five limits. Measured after: package spool passes.

--- a/spool/lowered_limit_test.go
+++ b/spool/lowered_limit_test.go
@@ -192,3 +192,28 @@
 		t.Errorf("%d messages were accepted and %d not: the limits were hardly tested", accepted, full)
 	}
 }
+
+// TestUpdateAboveLimitMovesOneSegment guards against an update that waits for a whole pass over what is held: after the limit was lowered,
+// one operation may move one segment, of the size that segments had under the former limit, and not all of them.
+func TestUpdateAboveLimitMovesOneSegment(t *testing.T) {
+	for _, limit := range loweredLimits {
+		if limit/2 > heldMessages/2*heldBodyBytes {
+			continue // half of the messages fit this limit
+		}
+		t.Run(fmt.Sprint(limit), func(t *testing.T) {
+			s, counter := openHolding(t, t.TempDir())
+			formerSegment := 2 * s.segmentSize // a segment may exceed its size by its last record, which has that size at most
+			for i := 0; i < heldMessages; i += 2 {
+				must(t, s.Remove(fmt.Sprint("held-", i)))
+			}
+			s.Resize(limit)
+			for round := range 20 {
+				counter.written = 0
+				must(t, counter.operation(t, s, "BeginAttempt", func() error { return s.BeginAttempt("held-1", Attempt{Endpoint: "endpoint"}) }))
+				if counter.written > formerSegment+1000 {
+					t.Fatalf("update %d wrote %d bytes, want one segment of %d at most", round, counter.written, formerSegment)
+				}
+			}
+		})
+	}
+}
--- a/spool/segment.go
+++ b/spool/segment.go
@@ -198,7 +198,8 @@
 }
 
 // compact moves the live messages of the oldest segments to the newest and removes the oldest, while that is needed. It takes each
-// segment once at the most, so that it ends under any limit.
+// segment once at the most, so that it ends under any limit. While more is live than the limit allows, it takes one segment for each
+// operation: nothing waits for room then, and moving all of them would hold up the caller.
 //
 // Failure: a limit had been lowered below what was held. Compaction went on while more than three quarters of the limit were used, rewrote
 // live messages for ever, and the courier hung.
@@ -208,6 +209,9 @@
 		if err := s.compactOldest(); err != nil {
 			return err
 		}
+		if s.Excess() > 0 {
+			return nil
+		}
 	}
 	return nil
 }
