Soak: reloads that lower a limit, successors that crash, discovery that refuses polls

In half of the seeds, each drawn from a source of its own: a reload lowers one of five limits below what is in use for a time; discovery refuses polls and returns. Of half of the upgrades the successor is killed up to 0.4 s after the handoff, and the old process goes on.

Not in it: endpoints whose addresses change hands (TestRestartAfterAddressWasReused has them).

The tests of exits beside floods share their end, the two kinds of upgrades their beginning.

--- a/cmd/pineport/flood_exit_test.go
+++ b/cmd/pineport/flood_exit_test.go
@@ -13,6 +13,26 @@
 // timeToKill is how long after SIGTERM the platform kills a process, at the earliest.
 const timeToKill = 3700 * time.Millisecond
 
+// requireExit sends SIGTERM and checks that the process ends by itself before the platform kills it.
+func (c *testCourier) requireExit() {
+	c.t.Helper()
+	began := time.Now()
+	c.cmd.Process.Signal(syscall.SIGTERM)
+	ended := make(chan error, 1)
+	go func() { ended <- c.cmd.Wait() }()
+	select {
+	case err := <-ended:
+		c.t.Logf("ended %v after SIGTERM", time.Since(began).Round(time.Millisecond))
+		if err != nil {
+			c.t.Error(err)
+		}
+	case <-time.After(timeToKill):
+		c.t.Errorf("the process had not ended %v after SIGTERM", timeToKill)
+		c.cmd.Process.Kill()
+		<-ended
+	}
+}
+
 var floodsOfExits = []floodKind{{5, neverStops}, {5, sendsAndGoes}, {5, sendsAndReads}}
 
 // TestUpgradesBesideFlood guards against clients that flood and keep a process from giving its work away, or a successor from taking it.
@@ -54,21 +74,7 @@
 			c.start()
 			defer kind.start(c.listen)()
 			time.Sleep(500 * time.Millisecond)
-			began := time.Now()
-			c.cmd.Process.Signal(syscall.SIGTERM)
-			ended := make(chan error, 1)
-			go func() { ended <- c.cmd.Wait() }()
-			select {
-			case err := <-ended:
-				t.Logf("ended %v after SIGTERM", time.Since(began).Round(time.Millisecond))
-				if err != nil {
-					t.Error(err)
-				}
-			case <-time.After(timeToKill):
-				t.Errorf("the process had not ended %v after SIGTERM", timeToKill)
-				c.cmd.Process.Kill()
-				<-ended
-			}
+			c.requireExit()
 		})
 	}
 }
@@ -90,21 +96,7 @@
 		c.send(encodeEnqueue(fmt.Sprint("endless-", i), "update", 20_000))
 	}
 	time.Sleep(500 * time.Millisecond)
-	began := time.Now()
-	c.cmd.Process.Signal(syscall.SIGTERM)
-	ended := make(chan error, 1)
-	go func() { ended <- c.cmd.Wait() }()
-	select {
-	case err := <-ended:
-		if err != nil {
-			t.Error(err)
-		}
-	case <-time.After(timeToKill):
-		t.Errorf("the process had not ended %v after SIGTERM", timeToKill)
-		c.cmd.Process.Kill()
-		<-ended
-	}
-	t.Logf("ended %v after SIGTERM", time.Since(began).Round(time.Millisecond))
+	c.requireExit()
 	if strings.Contains(c.logText(), "rejecting open requests") {
 		t.Error("the exit rejected requests, though each had its reply")
 	}
--- a/testbed/soak/actions.go
+++ b/testbed/soak/actions.go
@@ -17,6 +17,10 @@
 		r.flood(ctx, a)
 		return
 	}
+	if a.lowersLimit() {
+		r.lowerLimit(ctx, a)
+		return
+	}
 	switch a.name {
 	case actionDrain:
 		r.drain(ctx)
@@ -42,6 +46,14 @@
 		r.holdUp(ctx, a)
 	case actionUpgrade:
 		r.upgrade(a)
+	case actionCrashedUpgrade:
+		r.crashedUpgrade(a)
+	case actionDown:
+		r.refusingPolls.Store(true)
+		r.count(a.name)
+		wait(ctx, a.duration)
+		r.refusingPolls.Store(false)
+		r.addToTimeline("%s ended", a.name)
 	case actionSignals:
 		r.signalSeries(ctx, a)
 	default:
--- a/testbed/soak/plan.go
+++ b/testbed/soak/plan.go
@@ -38,6 +38,8 @@
 	actionHang            = "half of the calls hang"
 	actionHoldUp          = "process held up"
 	actionUpgrade         = "upgrade"
+	actionCrashedUpgrade  = "upgrade whose successor crashes"
+	actionDown            = "discovery refuses polls"
 )
 
 // timedSignal is a signal and the time from the one before it.
@@ -176,6 +178,11 @@
 	return slices.Contains([]string{"socket", "connect", "dup", "fcntl"}, a.syscallName)
 }
 
+// isCrowded reports whether the courier has to close connections in the run.
+func (p plan) isCrowded() bool {
+	return p.has(actionOpenConnections) || p.has(string(floodPartial)) || slices.ContainsFunc(p.actions, action.lowersSockets)
+}
+
 // has reports whether the plan has an action with a name.
 func (p plan) has(name string) bool {
 	return slices.ContainsFunc(p.actions, func(a action) bool { return a.name == name })
--- a/testbed/soak/play.go
+++ b/testbed/soak/play.go
@@ -56,6 +56,7 @@
 	socket         *os.File // listening socket that all processes share; nil in runs without upgrades
 	clients        clients
 	hanging        atomic.Bool // half of the calls to endpoints hang
+	refusingPolls  atomic.Bool // discovery answers no poll
 	holdUps        *rand.Rand  // draws the hold-ups of the process
 
 	mu               sync.Mutex
@@ -92,6 +93,8 @@
 	r.plan.actions = append(r.plan.actions, drawHoldUps(r.holdUps, r.plan.quietPeriod, o.Length)...)
 	r.plan.actions = append(r.plan.actions, drawFloods(rand.New(rand.NewSource(o.Seed^floodSeedMask)), r.plan.quietPeriod, o.Length)...)
 	r.plan.actions = append(r.plan.actions, drawUpgrades(rand.New(rand.NewSource(o.Seed^upgradeSeedMask)), r.plan.quietPeriod, o.Length)...)
+	r.plan.actions = append(r.plan.actions, drawLowerLimit(rand.New(rand.NewSource(o.Seed^limitSeedMask)), r.plan.quietPeriod, o.Length)...)
+	r.plan.actions = append(r.plan.actions, drawOutageOfPolls(rand.New(rand.NewSource(o.Seed^downSeedMask)), r.plan.quietPeriod, o.Length)...)
 	if err := r.setUp(rng.Int63()); err != nil {
 		return nil, err
 	}
--- a/testbed/soak/result.go
+++ b/testbed/soak/result.go
@@ -57,7 +57,7 @@
 func (r *run) judgeRequests(res *Result) {
 	r.mu.Lock()
 	res.SelfExits, res.Killed, res.Overdue = r.selfExits, r.killed, r.overdue
-	j := &judge{events: r.standIns.Events, outages: slices.Clone(r.outages), crowded: r.plan.has(actionOpenConnections) || r.plan.has(string(floodPartial)), result: res, start: r.startedAt,
+	j := &judge{events: r.standIns.Events, outages: slices.Clone(r.outages), crowded: r.plan.isCrowded(), result: res, start: r.startedAt,
 		notices: func(id string) []string { _, _, notices := r.standIns.MessageCalls(id); return notices }}
 	r.mu.Unlock()
 	for _, q := range r.clients.all() {
--- a/testbed/soak/setup.go
+++ b/testbed/soak/setup.go
@@ -41,6 +41,8 @@
 		switch {
 		case time.Since(r.startedAt) < r.plan.quietPeriod:
 			return faultproxy.FaultSpec{}
+		case call.IsPoll() && r.refusingPolls.Load():
+			return faultproxy.FaultSpec{Fault: faultproxy.Unavailable}
 		case call.IsPoll():
 			return drawTreatment(pollRand, r.plan.discoveryFaultRate)
 		case call.Read.Sub(noticeFaultAt) < noticeFaultInterval || r.cannotConnect():
@@ -59,7 +61,7 @@
 	if r.address, r.releaseAddress, err = port.Reserve(); err != nil {
 		return err
 	}
-	if r.plan.has(actionUpgrade) {
+	if r.plan.has(actionUpgrade) || r.plan.has(actionCrashedUpgrade) {
 		if r.socket, err = listeningSocket(r.address); err != nil {
 			return err
 		}
--- a/testbed/soak/soak_test.go
+++ b/testbed/soak/soak_test.go
@@ -161,3 +161,28 @@
 		t.Errorf("another socket could bind the run's address %s: %v", r.address, err)
 	}
 }
+
+// TestLowerLimitsAndOutagesAreDrawn checks that every limit is lowered, polls are refused and successors crash in some seeds, within the run.
+func TestLowerLimitsAndOutagesAreDrawn(t *testing.T) {
+	const length, seeds = 12 * time.Second, 300
+	drawn := map[string]int{}
+	for seed := range int64(seeds) {
+		actions := drawLowerLimit(rand.New(rand.NewSource(seed^limitSeedMask)), time.Second, length)
+		actions = append(actions, drawOutageOfPolls(rand.New(rand.NewSource(seed^downSeedMask)), time.Second, length)...)
+		actions = append(actions, drawUpgrades(rand.New(rand.NewSource(seed^upgradeSeedMask)), time.Second, length)...)
+		for _, a := range actions {
+			if drawn[a.name]++; a.at < time.Second || a.at > length {
+				t.Errorf("seed %d: %s at %v", seed, a.name, a.at)
+			}
+		}
+	}
+	want := []string{actionDown, actionUpgrade, actionCrashedUpgrade}
+	for _, limit := range lowerLimits {
+		want = append(want, limitNamePrefix+limit.path)
+	}
+	for _, name := range want {
+		if drawn[name] < seeds/20 {
+			t.Errorf("%s was drawn %d times in %d seeds", name, drawn[name], seeds)
+		}
+	}
+}
