An upgrade begins though its supervisor makes the shared listening socket blocking

What callers saw: as an upgrade began, the old process stopped for good, with no reply, call, notice or handoff, until the next client connected.

Cause, by the stacks of a hung process: whether a socket blocks is a property that the processes and their supervisor share. os/exec makes it blocking as it passes it on; an accept of the old process in that moment waits in the kernel, and closing the listener in StopAccepting waits for that accept.

Ruled out: the crash of a successor (the first upgrade hung too); the end of the accepting goroutine; the lock of the state folder.

--- a/cmd/pineport/crashed_upgrade_test.go
+++ b/cmd/pineport/crashed_upgrade_test.go
@@ -12,6 +12,11 @@
 func TestServiceAfterCrashedUpgrade(t *testing.T) {
 	const longestGap = 350 * time.Millisecond
 	p := newSupervisor(t, newUpgradeWorld(t))
+	defer func() {
+		if t.Failed() {
+			t.Log(p.logText())
+		}
+	}()
 	running := p.startProcess(p.binary)
 	p.requireReady(running)
 	for range 3 {
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"os"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -57,9 +58,8 @@
 	// barrier. nbio's connection table guarantees no ordering, so code that gets a connection from that table loads
 	// this counter first, and thereby sees all writes made before the increment.
 	registeredConns atomic.Int64
-	closeLock       sync.RWMutex  // read-locked while a connection is added to nbio
-	closed          bool          // no more connections may be added to nbio
-	closing         chan struct{} // closed as Close begins
+	closeLock       sync.RWMutex // read-locked while a connection is added to nbio
+	closed          bool         // no more connections may be added to nbio
 }
 
 // connOf returns the Conn that belongs to an nbio connection.
@@ -103,14 +103,17 @@
 	openLock.Lock()
 	defer openLock.Unlock()
 	nbio.MaxOpenFiles = sockets + 64 // nbio's connection table is indexed by descriptor number, including those of other files
-	driver := &Driver{log: log, closing: make(chan struct{})}
+	driver := &Driver{log: log}
 	latestDriver.Store(driver)
 	listen := func(network, addr string) (l net.Listener, err error) {
 		if l = inherited; l == nil {
 			l, err = net.Listen(network, addr)
 		}
-		driver.listener = admissionListener{l, admit, driver}
-		return driver.listener, err
+		if err != nil {
+			return nil, err
+		}
+		driver.listener = newAdmissionListener(l, admit, driver)
+		return driver.listener, nil
 	}
 	driver.engine = nbio.NewEngine(nbio.Config{Network: "tcp", Addrs: []string{addr}, NPoller: 1, Listen: listen,
 		ReadBufferSize: readBufferSize, MaxWriteBufferSize: maxWriteBufferSize})
@@ -141,7 +144,7 @@
 	// Without this pause nbio would retry accept in a busy loop while no descriptor is available.
 	driver.engine.OnAcceptError(func(error) {
 		if time.Sleep(20 * time.Millisecond); driver.stoppedAccepting.Load() {
-			<-driver.closing // otherwise nbio would log accept errors until Close
+			runtime.Goexit() // otherwise nbio would log accept errors until Close, and Close would wait for this goroutine
 		}
 	})
 	return driver, driver.engine.Start()
@@ -169,7 +172,6 @@
 	if alreadyClosed {
 		return
 	}
-	close(d.closing)
 	d.rests.closeAll()
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
