--- a/testbed/capacity/arithmetic_test.go
+++ b/testbed/capacity/arithmetic_test.go
@@ -91,7 +91,7 @@
 		{"membership/gossip/gossip.go", `ticksPerInterval\s+= (\d+)\s`, gossipTicks},
 		{"server/discovery.go", `watchWait\s+= (\d+) \* 1000\n`, 1000 * watchSeconds},
 		{"cmd/pineport/fleet.go", `Interval: min\(o\.Interval/(\d+), maxExchangeInterval\)`, sharingTicks},
-		{"spool/spool.go", `reservedBytes: (\d+)}`, reservedPerMessage},
+		{"spool/spool.go", `growthReserve = (\d+)`, reservedPerMessage},
 		{"server/queue.go", `const pauseThreshold = (\d+) \* 1000`, 1000 * examplePlan(t).Budget.Courier.StepSeconds},
 	}
 	bounds := 0
--- a/testbed/capacity/sizes.go
+++ b/testbed/capacity/sizes.go
@@ -58,7 +58,7 @@
 	liveDiskShare = 0.5
 )
 
-// reservedPerMessage is the space in bytes that the spool reserves per message for the records of its attempts. It equals reservedBytes in
+// reservedPerMessage is the space in bytes that the spool reserves per message for the records of its attempts. It equals growthReserve in
 // spool/spool.go.
 const reservedPerMessage = 1024
 
